--- a/packages/base/instant.h
+++ b/packages/base/instant.h
@@ -15,7 +15,6 @@
     using period = std::micro;
     using duration = std::chrono::duration<rep, period>;
     using time_point = std::chrono::time_point<event_clock, duration>;
-    static constexpr bool is_steady = true;
 };
 
 /// A length of time in microseconds.
