--- a/packages/urgent/urgent_settings.h
+++ b/packages/urgent/urgent_settings.h
@@ -28,8 +28,9 @@
     routing_kind routing = routing_kind::least_wait;
 
     duration identifierLifetime = 600s;
-    /// At 590 requests a second 354,000 identifiers are live; the bound leaves room for bursts.
-    std::size_t maxIdentifiers = 600'000;
+    /// At 590 requests a second 354,000 identifiers are live. The bound admits a flood of ten times
+    /// as many; an entry takes three bytes.
+    std::size_t maxIdentifiers = 4'000'000;
     /// Answers kept for repeated requests and queries; the oldest are dropped first.
     std::size_t maxAnswerBytes = 8'000'000;
     /// Records of dispatch orders, each kept for the lifetime of an identifier.
