--- /dev/null
+++ b/packages/batch/shard_core.h
@@ -0,0 +1,64 @@
+/// Defines the scheduler of one shard of batch work as a pure state machine.
+#ifndef CROCUSWIND_BATCH_SHARD_CORE_H
+#define CROCUSWIND_BATCH_SHARD_CORE_H
+
+#include "shard_events.h"
+
+#include <memory>
+#include <vector>
+
+namespace crocuswind {
+
+/// The fixed facts of one shard on one host. The durations are those of the design page.
+struct shard_settings
+{
+    host_id host;
+    incarnation life
+        = 0; ///< Of this host's process; distinguishes its writes from an earlier one's.
+    shard_id shard;
+    int shardCount = 1; ///< Shards of the data centre, for the assignment of workers and jobs.
+};
+
+/// Returns the shard of \p shardCount that a job belongs to.
+int shardOfJob(const job_id &job, int shardCount);
+
+/// Returns the shard of \p shardCount that a worker belongs to.
+int shardOfWorker(const worker_id &worker, int shardCount);
+
+/// Counters and gauges of a shard, for metrics and tests.
+struct shard_status
+{
+    bool isOwner = false;
+    std::int64_t epoch = 0;
+    std::size_t jobs = 0;
+    std::size_t waitingTasks = 0;
+    std::size_t claimedTasks = 0;
+    std::size_t workers = 0;
+    std::size_t workersAside = 0; ///< Put aside because they fail what they start.
+    std::int64_t commits = 0;
+    std::int64_t storeCalls = 0;
+};
+
+/// Owns a shard's jobs, claims and outcomes while this host holds the shard in the store.
+class shard_core
+{
+public:
+    explicit shard_core(shard_settings settings);
+    ~shard_core();
+    shard_core(const shard_core &) = delete;
+    shard_core &operator=(const shard_core &) = delete;
+
+    /// Handles one event and returns what is to be done, in order. Times must not decrease.
+    std::vector<shard_action> handle(const shard_event &event);
+
+    /// Returns the counters and gauges.
+    shard_status status() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace crocuswind
+
+#endif
