--- /dev/null
+++ b/packages/protocol/worker_bodies.h
@@ -0,0 +1,40 @@
+/// Encodes and parses the JSON bodies of `POST /v1/sync` in both directions. A task is named
+/// `{"job":"team/name","replica":0,"attempt":1}`; cores are numbers with at most three decimals.
+#ifndef CROCUSWIND_PROTOCOL_WORKER_BODIES_H
+#define CROCUSWIND_PROTOCOL_WORKER_BODIES_H
+
+#include "base/base.h"
+#include "batch/batch.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace crocuswind {
+
+/// Returns the body that an entry host sends to a worker.
+std::string encodeSyncRequest(const sync_request &request);
+
+/// Parses the body that a worker receives. Unknown fields are ignored, missing lists are empty.
+/// \return the request, or all findings, each with the path of the field. Bodies of more than 1 MB
+/// or nested deeper than 16 levels are refused.
+tl::expected<sync_request, findings> parseSyncRequest(std::string_view body);
+
+/// Returns the body of a worker's answer with status 200.
+std::string encodeSyncReport(const sync_report &report);
+
+/// Parses a worker's answer with status 200, with the same bounds as `parseSyncRequest`.
+/// \return the report, or all findings.
+tl::expected<sync_report, findings> parseSyncReport(std::string_view body);
+
+/// Returns the body of a worker's answer with status 409: the highest epoch that it has seen.
+std::string encodeStaleEpoch(std::int64_t epoch);
+
+/// Parses a worker's answer with status 409.
+/// \return the highest epoch that the worker has seen, or the findings.
+tl::expected<std::int64_t, findings> parseStaleEpoch(std::string_view body);
+
+} // namespace crocuswind
+
+#endif
