--- a/packages/batch/commit_pipeline.cpp
+++ b/packages/batch/commit_pipeline.cpp
@@ -154,6 +154,13 @@
     m_isStoreDown = true;
 }
 
+bool commit_pipeline::isAttempted(std::int64_t sequence) const
+{
+    const auto is = [sequence](const attempt &a) { return a.sequence == sequence; };
+    return (m_inFlight && is(*m_inFlight))
+        || std::any_of(m_unresolved.begin(), m_unresolved.end(), is);
+}
+
 commit_outcome commit_pipeline::handleEntries(const std::vector<store_entry> &entries)
 {
     for (const store_entry &entry : entries) {
@@ -161,7 +168,7 @@
             continue;
         const auto record = decodeCommitRecord(entry.value);
         const bool isOwn = record && record->writer == m_writer && record->epoch == m_epoch
-            && entry.version == m_version + 1;
+            && entry.version == m_version + 1 && isAttempted(record->sequence);
         return isOwn ? land(record->sequence) : commit_outcome::lost;
     }
     return commit_outcome::nothing;
--- a/packages/batch/commit_pipeline.h
+++ b/packages/batch/commit_pipeline.h
@@ -82,6 +82,7 @@
         std::vector<int> segments;
     };
 
+    bool isAttempted(std::int64_t sequence) const;
     commit_outcome land(std::int64_t sequence);
     commit_outcome handleEntries(const std::vector<store_entry> &entries);
     void backOff(instant now);
--- a/packages/batch/ownership.cpp
+++ b/packages/batch/ownership.cpp
@@ -96,8 +96,17 @@
     if (m_isInFlight || due(now) > now)
         return std::nullopt;
     m_isInFlight = true;
+    if (m_isReleasing) {
+        store_transaction release;
+        release.compares.push_back(
+            {m_keys.owner, store_compare::property::create_revision, m_epoch, std::string()});
+        release.deletes.push_back({m_keys.owner});
+        return release;
+    }
     m_isProofInFlight = m_phase == phase::owning;
     switch (m_phase) {
+    case phase::released:
+        break;
     case phase::watching:
     case phase::reading_claim:
     case phase::owning:
@@ -123,8 +132,10 @@
 
 instant ownership::due(instant now) const
 {
-    if (m_isInFlight)
+    if (m_isInFlight || m_phase == phase::released)
         return instant::max();
+    if (m_isReleasing)
+        return now;
     if (m_phase == phase::owning) {
         if (needsProof(now))
             return std::max(now, m_nextCallAt);
@@ -155,6 +166,13 @@
     m_nextCallAt = now + wait;
 }
 
+void ownership::release()
+{
+    m_isReleasing = m_epoch != 0 && !m_isReleasing;
+    if (m_epoch == 0 && !m_isInFlight)
+        m_phase = phase::released;
+}
+
 std::optional<loaded_shard> ownership::takeLoaded()
 {
     if (m_phase != phase::owning || !m_loaded)
@@ -167,6 +185,12 @@
 std::string ownership::handleResult(instant now, const store_result &result)
 {
     m_isInFlight = false;
+    if (m_isReleasing) {
+        // A lost answer is not repeated: the key lapses with the lease.
+        m_isProofInFlight = false;
+        m_phase = phase::released;
+        return "released the shard";
+    }
     if (m_isProofInFlight) {
         m_isProofInFlight = false;
         return m_phase == phase::owning ? handleProof(now, result) : std::string();
@@ -193,6 +217,7 @@
     case phase::loading_segments:
         return handleSegments(now, *result);
     case phase::owning:
+    case phase::released:
         break;
     }
     return std::string();
@@ -201,7 +226,6 @@
 std::string ownership::handleOwner(instant now, const store_reply &reply)
 {
     const store_entry *entry = findKey(reply.entries, m_keys.owner);
-    const bool wasClaiming = m_phase != phase::watching;
     m_phase = phase::watching;
     if (entry == nullptr) {
         m_otherOwner.reset();
@@ -213,7 +237,7 @@
         return std::string();
     }
     m_missingSince.reset();
-    if (wasClaiming && entry->value == m_writer && entry->lease == m_session.lease) {
+    if (entry->value == m_writer && entry->lease == m_session.lease) {
         m_claimLease = entry->lease;
         becomeClaimant(entry->createRevision);
         return std::string();
--- a/packages/batch/ownership.h
+++ b/packages/batch/ownership.h
@@ -49,6 +49,13 @@
     /// attempt to take over waits for \p wait.
     void lose(instant now, duration wait = duration::zero());
 
+    /// Asks to delete the owner key, so that another host need not wait for the lease. This host
+    /// does not try to own the shard again.
+    void release();
+
+    /// Returns true once the key was given up, or there was nothing to give up.
+    bool isReleased() const { return m_phase == phase::released; }
+
     /// Returns the shard's content once after it was loaded.
     std::optional<loaded_shard> takeLoaded();
 
@@ -80,7 +87,8 @@
         reading_claim,
         loading_commit,
         loading_segments,
-        owning
+        owning,
+        released
     };
 
     bool isLeaseValid(instant now) const;
@@ -104,6 +112,7 @@
     instant m_nextCallAt; ///< Not before this time.
     bool m_isInFlight = false;
     bool m_isProofInFlight = false;
+    bool m_isReleasing = false;
     std::optional<instant> m_missingSince; ///< When the owner key was first seen missing.
     std::optional<host_id> m_otherOwner;
 
