Add the configuration core and the publication core

config_core keeps the highest revision seen in the store or at any peer. One host of each data centre watches the store, chosen by name, and the next one stands in; the others copy from a peer. publish_core writes revision n+1 and its history entry in one transaction over revision n.

--- a/packages/cluster/config_core.h
+++ b/packages/cluster/config_core.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -144,7 +145,60 @@
     std::string notReadyReason() const;
 
 private:
+    void on(const cluster_tick &);
+    void on(const cluster_store_answer &e);
+    void on(const config_peer &e);
+    void on(const config_watch_result &e);
+    void on(const config_watch_ended &e);
+    void on(const config_copy &e);
+    void on(const config_asked &e);
+
+    void readStore();
+    void onReadFailed();
+    void startWatch();
+    void stopWatch();
+    void considerWatching();
+    void reportWatching();
+    void considerStoreEntry(const std::optional<store_entry> &entry);
+    void offer(config_set config);
+    void applyIfDecided();
+    bool isStartDecided() const;
+    void considerAsking();
+    duration backoff(int failures) const;
+    std::int64_t heldRevision() const;
+    instant nextWake() const;
+
+    config_settings m_settings;
+    instant m_now;
+    std::vector<action> m_actions;
     std::shared_ptr<const config_set> m_current;
+    std::shared_ptr<const std::string> m_encoded; ///< Of `m_current`.
+    std::optional<config_set> m_candidate; ///< Highest seen while the start is undecided.
+    std::optional<instant> m_started;
+    std::map<host_id, config_peer> m_peers; ///< Alive ones only.
+
+    std::int64_t m_lastToken = 0;
+    std::int64_t m_read = 0; ///< Token of the read in flight, or 0.
+    instant m_readDeadline;
+    std::optional<instant> m_readAt; ///< When to read next.
+    int m_readFailures = 0; ///< In sequence.
+    bool m_hasStoreAnswered = false; ///< At least once.
+    std::string m_storeState = "has not been asked yet";
+
+    std::int64_t m_lastWatch = 0;
+    std::int64_t m_watch = 0; ///< The running watch, or 0.
+    bool m_isWatchProven = false; ///< The store was read successfully while the watch ran.
+    bool m_isWatchingReported = false;
+    instant m_watchStarted;
+    int m_watchFailures = 0; ///< Short watches in sequence.
+    std::optional<instant> m_watchAt; ///< Earliest next attempt after a failure.
+    std::optional<instant> m_watchDue; ///< When to watch unless another host does by then.
+    std::optional<instant> m_unwatchedSince; ///< No host of higher rank watches since then.
+
+    std::optional<host_id> m_asked; ///< Peer whose copy is awaited.
+    instant m_askDeadline;
+    int m_askFailures = 0; ///< In sequence.
+    std::set<host_id> m_askedInVain; ///< Peers that did not help with the revision wanted.
 };
 
 } // namespace crocuswind
--- a/packages/cluster/membership_types.h
+++ b/packages/cluster/membership_types.h
@@ -64,8 +64,8 @@
     incarnation life = 0;
 };
 
-/// Asks for a `probe_answer`; a sequence of 0 only brings news and asks for nothing.
-struct probe
+/// Asks for a `membership_probe_answer`; a sequence of 0 only brings news and asks for nothing.
+struct membership_probe
 {
     std::int64_t sequence = 0;
     member_digest digest;
@@ -73,7 +73,7 @@
 
 /// Answers a probe. If `subject` is not empty, it is sent on behalf of that host, which has
 /// answered the sender of this message.
-struct probe_answer
+struct membership_probe_answer
 {
     std::int64_t sequence = 0;
     host_id subject;
@@ -81,14 +81,15 @@
 };
 
 /// Asks the receiver to probe another host and to report its answer under this sequence.
-struct indirect_probe
+struct membership_indirect_probe
 {
     std::int64_t sequence = 0;
     host_id target;
 };
 
 /// Any message between the membership cores.
-using membership_message = std::variant<probe, probe_answer, indirect_probe>;
+using membership_message
+    = std::variant<membership_probe, membership_probe_answer, membership_indirect_probe>;
 
 /// A member as this host sees it.
 struct member
--- a/packages/cluster/publish_core.h
+++ b/packages/cluster/publish_core.h
@@ -61,6 +61,36 @@
 
     /// Handles one event and returns what is to be done, in order.
     std::vector<action> handle(const event &e);
+
+private:
+    enum class phase { read_base, read_own, read_old, write, done };
+
+    void on(const cluster_tick &);
+    void on(const cluster_store_answer &e);
+    void call(store_operation operation);
+    void onUnanswered(store_error error);
+    void onBase(const store_reply &reply);
+    void onOwn(const store_reply &reply);
+    bool isOwn(const store_entry &entry) const;
+    void onOld(const store_reply &reply);
+    void onWritten(const store_reply &reply);
+    void write();
+    void finish(publish_verdict verdict, std::string message);
+    void finishPublished();
+    void finishConflict(config_set present);
+
+    publish_request m_request;
+    instant m_now;
+    std::vector<action> m_actions;
+    phase m_phase = phase::read_base;
+    std::int64_t m_lastToken = 0;
+    std::int64_t m_call = 0; ///< Token of the call in flight, or 0.
+    instant m_callDeadline;
+    std::optional<instant> m_retryAt;
+    bool m_mayBeWritten = false; ///< A transaction was sent whose answer was lost.
+    config_set m_base; ///< Revision 0 if the store holds no configuration.
+    std::int64_t m_baseModRevision = 0;
+    config_set m_next;
 };
 
 } // namespace crocuswind
