Add the headers of the I/O package and its protocol bodies

Declares the event loop, HTTP server and client, peer links, store, host list, logger, span writer and metrics, so that other packages can be written against them.

--- /dev/null
+++ b/packages/io/http_message.h
@@ -0,0 +1,49 @@
+/// Defines HTTP requests and responses as values, for the server and the client.
+#ifndef CROCUSWIND_IO_HTTP_MESSAGE_H
+#define CROCUSWIND_IO_HTTP_MESSAGE_H
+
+#include "base/base.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crocuswind {
+
+/// One header field. Names of received fields are in lower case.
+struct http_header
+{
+    std::string name;
+    std::string value;
+};
+
+using http_headers = std::vector<http_header>;
+
+/// Returns the value of the first field \p lowerCaseName, or an empty text if there is none. The
+/// result refers into \p headers.
+std::string_view headerValue(const http_headers &headers, std::string_view lowerCaseName);
+
+/// A request as it arrived, with its whole body.
+struct http_request
+{
+    std::string method; ///< GET, HEAD, POST, PUT or DELETE; others are refused by the server.
+    std::string path; ///< The path as sent, without the query, not decoded.
+    std::string query; ///< What follows the question mark, not decoded.
+    http_headers headers;
+    std::string body;
+    std::string peerAddress; ///< Numeric IP address of the connection's other end.
+    instant arrived; ///< When the last byte of the request had been read.
+};
+
+/// An answer to a request. The content length is added by the server.
+struct http_response
+{
+    int status = 200;
+    std::string contentType = "application/json";
+    http_headers headers;
+    std::string body;
+};
+
+} // namespace crocuswind
+
+#endif
--- /dev/null
+++ b/packages/io/io.h
@@ -0,0 +1,20 @@
+/// The public header of the I/O library: sockets, timers, signals and files on one libevent loop on
+/// one thread. It decides nothing; everything that a peer can send is bounded in size and count.
+#ifndef CROCUSWIND_IO_IO_H
+#define CROCUSWIND_IO_IO_H
+
+#include "endpoint.h"
+#include "etcd_store.h"
+#include "event_loop.h"
+#include "host_list_client.h"
+#include "http_client.h"
+#include "http_message.h"
+#include "http_server.h"
+#include "logger.h"
+#include "metrics_registry.h"
+#include "peer_links.h"
+#include "span_writer.h"
+#include "store.h"
+#include "tls_context.h"
+
+#endif
