--- a/packages/io/http_client.h
+++ b/packages/io/http_client.h
@@ -94,7 +94,8 @@
     /// connections above the limit are closed, busy ones when their call has ended.
     void setConnectionLimit(const ip_endpoint &endpoint, int limit);
 
-    /// Closes idle connections to all endpoints and forgets endpoints without calls.
+    /// Closes idle connections to all endpoints. Endpoints without calls and without a limit of
+    /// their own are forgotten.
     void closeIdle();
 
     /// Returns the number of connections to \p endpoint, idle ones included, streams excluded.
--- a/packages/io/http_message.h
+++ b/packages/io/http_message.h
@@ -26,7 +26,7 @@
 /// A request as it arrived, with its whole body.
 struct http_request
 {
-    std::string method; ///< GET, HEAD, POST, PUT or DELETE; others are refused by the server.
+    std::string method; ///< GET, POST, PUT or DELETE; others are refused by the server.
     std::string path; ///< The path as sent, without the query, not decoded.
     std::string query; ///< What follows the question mark, not decoded.
     http_headers headers;
--- /dev/null
+++ b/packages/io/http_server.cpp
@@ -0,0 +1,384 @@
+#include "http_server.h"
+
+#include "http_wire.h"
+#include "libevent_time.h"
+#include "socket_address.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/bufferevent_ssl.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/listener.h>
+#include <set>
+#include <sys/socket.h>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace crocuswind {
+
+namespace {
+
+constexpr duration sweepInterval = 1s;
+constexpr duration sweepIntervalWhenFull = 100ms;
+
+// A request with both is read differently by different servers, which lets one caller's bytes be
+// taken for another's request behind a shared balancer.
+bool hasAmbiguousLength(const http_headers &headers)
+{
+    int lengths = 0;
+    for (const http_header &h : headers)
+        lengths += h.name == "content-length" || h.name == "transfer-encoding" ? 1 : 0;
+    return lengths > 1;
+}
+
+} // namespace
+
+// What is known of one connection. evhttp tells nobody that a connection was opened or, before its
+// first request, closed. A reference to its bufferevent shows both: freeing it clears its
+// callbacks.
+struct server_connection
+{
+    bufferevent *socket = nullptr;
+    instant waitingSince; ///< Accepted, or last answer handed over.
+    bool hasRequest = false;
+};
+
+struct http_responder::state
+{
+    ~state();
+
+    http_server::implementation *server = nullptr; ///< Null once the server is gone.
+    evhttp_request *request = nullptr; ///< Null once answered or gone.
+    bufferevent *socket = nullptr;
+    event *closeWatch = nullptr;
+    bool isGone = false;
+    std::function<void()> onGone;
+};
+
+struct http_server::implementation
+{
+    implementation(event_loop &l, http_server_settings s, handler h)
+        : loop(l)
+        , settings(std::move(s))
+        , handle(std::move(h))
+        , http(evhttp_new(l.base()))
+    {
+        CROCUSWIND_INVARIANT(http != nullptr, "evhttp_new failed");
+        evhttp_set_max_headers_size(http, ev_ssize_t(settings.maxHeaderBytes));
+        evhttp_set_max_body_size(http, ev_ssize_t(settings.maxBodyBytes));
+        evhttp_set_allowed_methods(
+            http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
+        const timeval limit = toTimeval(settings.idleLimit);
+        evhttp_set_timeout_tv(http, &limit);
+        evhttp_set_bevcb(http, &implementation::onConnection, this);
+        evhttp_set_gencb(http, &implementation::onRequest, this);
+    }
+
+    ~implementation()
+    {
+        loop.cancel(sweepTimer);
+        for (http_responder::state *s : open) {
+            event_free(s->closeWatch);
+            s->closeWatch = nullptr;
+            s->request = nullptr;
+            s->server = nullptr;
+            s->isGone = true;
+        }
+        open.clear();
+        listeners.clear(); // evhttp frees them before the connections.
+        evhttp_free(http);
+        for (auto &[socket, connection] : connections)
+            bufferevent_decref(socket);
+    }
+
+    tl::expected<ip_endpoint, std::string> listen(const ip_endpoint &where)
+    {
+        const auto bound = bindListener(loop.base(), where);
+        if (!bound)
+            return tl::unexpected(bound.error());
+        evhttp_bound_socket *socket = evhttp_bind_listener(http, bound->listener);
+        CROCUSWIND_INVARIANT(socket != nullptr, "evhttp_bind_listener failed");
+        evconnlistener_set_error_cb(bound->listener, &implementation::onAcceptError);
+        listeners.push_back(socket);
+        return bound->endpoint;
+    }
+
+    // Accepting fails when the process has no descriptor left. The listener would report it without
+    // pause, so it rests until the next sweep.
+    static void onAcceptError(evconnlistener *listener, void *)
+    {
+        evconnlistener_disable(listener);
+    }
+
+    static bufferevent *onConnection(event_base *base, void *self)
+    {
+        return static_cast<implementation *>(self)->addConnection(base);
+    }
+
+    bufferevent *addConnection(event_base *base)
+    {
+        bufferevent *socket = settings.tls
+            ? bufferevent_openssl_socket_new(base, -1, settings.tls->newServerSession(),
+                                             BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE)
+            : bufferevent_socket_new(base, -1, 0);
+        CROCUSWIND_INVARIANT(socket != nullptr, "cannot create a bufferevent");
+        if (settings.tls)
+            bufferevent_openssl_set_allow_dirty_shutdown(socket, 1);
+        bufferevent_incref(socket);
+        connections[socket] = {socket, loop.now(), false};
+        updateListeners();
+        if (sweepTimer == 0 || isFull())
+            scheduleSweep();
+        return socket;
+    }
+
+    bool isFull() const { return connections.size() >= settings.maxConnections; }
+
+    void updateListeners()
+    {
+        for (evhttp_bound_socket *socket : listeners) {
+            evconnlistener *listener = evhttp_bound_socket_get_listener(socket);
+            if (isFull())
+                evconnlistener_disable(listener);
+            else
+                evconnlistener_enable(listener);
+        }
+    }
+
+    void scheduleSweep()
+    {
+        loop.cancel(sweepTimer);
+        sweepTimer = loop.callAt(loop.now() + (isFull() ? sweepIntervalWhenFull : sweepInterval),
+                                 [this] { sweep(); });
+    }
+
+    // Forgets connections that evhttp has closed, and closes those that wait for too long.
+    void sweep()
+    {
+        const instant now = loop.now();
+        for (auto i = connections.begin(); i != connections.end();) {
+            server_connection &connection = i->second;
+            bufferevent_data_cb onRead = nullptr;
+            bufferevent_data_cb onWrite = nullptr;
+            bufferevent_event_cb onEvent = nullptr;
+            bufferevent_getcb(connection.socket, &onRead, &onWrite, &onEvent, nullptr);
+            if (onRead == nullptr && onWrite == nullptr && onEvent == nullptr) {
+                bufferevent_decref(connection.socket);
+                i = connections.erase(i);
+                continue;
+            }
+            // evhttp sees the end of the stream and frees the connection in its own time.
+            const bool isOverdue = now - connection.waitingSince > settings.idleLimit;
+            const bool isUnwanted = isDraining && isIdle(connection);
+            if (!connection.hasRequest && (isOverdue || isUnwanted))
+                shutdown(bufferevent_getfd(connection.socket), SHUT_RDWR);
+            ++i;
+        }
+        updateListeners();
+        sweepTimer = 0;
+        if (!connections.empty() || !listeners.empty())
+            scheduleSweep();
+    }
+
+    static bool isIdle(const server_connection &connection)
+    {
+        return !connection.hasRequest
+            && evbuffer_get_length(bufferevent_get_input(connection.socket)) == 0
+            && evbuffer_get_length(bufferevent_get_output(connection.socket)) == 0;
+    }
+
+    static void onRequest(evhttp_request *request, void *self)
+    {
+        static_cast<implementation *>(self)->accept(request);
+    }
+
+    void accept(evhttp_request *request)
+    {
+        evhttp_connection *connection = evhttp_request_get_connection(request);
+        bufferevent *socket = evhttp_connection_get_bufferevent(connection);
+        http_request received;
+        received.method = methodName(evhttp_request_get_command(request));
+        const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+        if (const char *path = uri != nullptr ? evhttp_uri_get_path(uri) : nullptr)
+            received.path = path;
+        if (const char *query = uri != nullptr ? evhttp_uri_get_query(uri) : nullptr)
+            received.query = query;
+        received.headers = copyHeaders(evhttp_request_get_input_headers(request));
+        received.body = takeBuffer(evhttp_request_get_input_buffer(request));
+        char *peer = nullptr;
+        ev_uint16_t port = 0;
+        evhttp_connection_get_peer(connection, &peer, &port);
+        received.peerAddress = peer != nullptr ? peer : "";
+        received.arrived = loop.now();
+
+        const std::shared_ptr<http_responder::state> state(new http_responder::state);
+        state->server = this;
+        state->request = request;
+        state->socket = socket;
+        // evhttp does not read while a request is being worked on, so it would not see that the
+        // caller has closed the connection. Letting it read is no way out: it ends the process if
+        // bytes of a further request arrive in that state.
+        state->closeWatch = event_new(
+            loop.base(), bufferevent_getfd(socket), EV_CLOSED,
+            [](evutil_socket_t, short, void *s) {
+                auto *watched = static_cast<http_responder::state *>(s);
+                watched->server->dropCaller(*watched);
+            },
+            state.get());
+        event_add(state->closeWatch, nullptr);
+        open.insert(state.get());
+        if (const auto found = connections.find(socket); found != connections.end())
+            found->second.hasRequest = true;
+        evhttp_connection_set_closecb(connection, &implementation::onClosed, this);
+
+        http_responder responder(state);
+        if (hasAmbiguousLength(received.headers) || received.path.empty()) {
+            responder.answer({400, "text/plain", {{"connection", "close"}}, "malformed request\n"});
+            return;
+        }
+        handle(std::move(received), std::move(responder));
+    }
+
+    // Ends the responder's part in its request; the request itself is left to the caller.
+    void release(http_responder::state &s)
+    {
+        event_free(s.closeWatch);
+        s.closeWatch = nullptr;
+        s.request = nullptr;
+        open.erase(&s);
+        if (const auto found = connections.find(s.socket); found != connections.end()) {
+            found->second.hasRequest = false;
+            found->second.waitingSince = loop.now();
+        }
+    }
+
+    void markGone(http_responder::state &s)
+    {
+        release(s);
+        s.isGone = true;
+        if (s.onGone)
+            loop.post(std::exchange(s.onGone, nullptr));
+    }
+
+    void dropCaller(http_responder::state &s)
+    {
+        evhttp_connection *connection = evhttp_request_get_connection(s.request);
+        markGone(s);
+        evhttp_connection_free(connection);
+    }
+
+    static void onClosed(evhttp_connection *connection, void *self)
+    {
+        static_cast<implementation *>(self)->forgetConnection(connection);
+    }
+
+    void forgetConnection(evhttp_connection *connection)
+    {
+        bufferevent *socket = evhttp_connection_get_bufferevent(connection);
+        for (http_responder::state *s : open) {
+            if (s->socket != socket)
+                continue;
+            evhttp_request *request = s->request;
+            markGone(*s);
+            // A request that evhttp has taken off its connection is freed by answering it.
+            if (evhttp_request_get_connection(request) == nullptr)
+                evhttp_send_reply(request, 500, nullptr, nullptr);
+            break;
+        }
+        if (connections.erase(socket) != 0)
+            bufferevent_decref(socket);
+        updateListeners();
+    }
+
+    void answer(http_responder::state &s, const http_response &response)
+    {
+        evhttp_request *request = s.request;
+        evkeyvalq *headers = evhttp_request_get_output_headers(request);
+        evhttp_add_header(headers, "Content-Type", response.contentType.c_str());
+        for (const http_header &h : response.headers)
+            evhttp_add_header(headers, h.name.c_str(), h.value.c_str());
+        if (isDraining) {
+            evhttp_remove_header(headers, "Connection");
+            evhttp_add_header(headers, "Connection", "close");
+        }
+        evbuffer *body = evbuffer_new();
+        evbuffer_add(body, response.body.data(), response.body.size());
+        release(s);
+        evhttp_send_reply(request, response.status, nullptr, body);
+        evbuffer_free(body);
+    }
+
+    event_loop &loop;
+    http_server_settings settings;
+    handler handle;
+    evhttp *http;
+    std::vector<evhttp_bound_socket *> listeners;
+    std::unordered_map<bufferevent *, server_connection> connections;
+    std::set<http_responder::state *> open;
+    timer_id sweepTimer = 0;
+    bool isDraining = false;
+};
+
+http_responder::state::~state()
+{
+    if (request != nullptr)
+        server->answer(*this, {500, "text/plain", {}, "no answer was given\n"});
+}
+
+http_responder::http_responder(std::shared_ptr<state> s)
+    : m_state(std::move(s))
+{ }
+
+void http_responder::answer(const http_response &response) const
+{
+    if (m_state->request != nullptr)
+        m_state->server->answer(*m_state, response);
+}
+
+void http_responder::onGone(std::function<void()> function) const
+{
+    if (m_state->isGone && m_state->server != nullptr)
+        m_state->server->loop.post(std::move(function));
+    else if (m_state->request != nullptr)
+        m_state->onGone = std::move(function);
+}
+
+bool http_responder::isGone() const
+{
+    return m_state->isGone;
+}
+
+http_server::http_server(event_loop &loop, http_server_settings settings, handler h)
+    : m_implementation(std::make_unique<implementation>(loop, std::move(settings), std::move(h)))
+{ }
+
+http_server::~http_server() = default;
+
+tl::expected<ip_endpoint, std::string> http_server::listen(const ip_endpoint &where)
+{
+    return m_implementation->listen(where);
+}
+
+void http_server::stopAccepting()
+{
+    implementation &i = *m_implementation;
+    i.isDraining = true;
+    for (evhttp_bound_socket *socket : i.listeners)
+        evhttp_del_accept_socket(i.http, socket);
+    i.listeners.clear();
+    i.sweep();
+}
+
+std::size_t http_server::openRequests() const
+{
+    return m_implementation->open.size();
+}
+
+std::size_t http_server::openConnections() const
+{
+    return m_implementation->connections.size();
+}
+
+} // namespace crocuswind
--- a/packages/io/http_server.h
+++ b/packages/io/http_server.h
@@ -21,11 +21,10 @@
     std::size_t maxHeaderBytes = 16 * 1024; ///< Request line and header; more is refused.
     std::size_t maxBodyBytes = 1024 * 1024; ///< A larger body is answered with 413.
     std::size_t maxConnections = 1024; ///< At the limit, no further connection is accepted.
-    /// A connection that delivers no whole request for this long is closed; it covers idle
-    /// connections and slow senders alike. It does not run while a request is being worked on.
+    /// A connection that has not taken in its last answer and delivered its next whole request in
+    /// this time is closed, which covers idle connections, slow senders and slow readers alike. The
+    /// time does not run while a request is being worked on.
     duration idleLimit = 30s;
-    /// A connection whose peer takes no byte of an answer for this long is closed.
-    duration writeLimit = 10s;
     std::shared_ptr<tls_context> tls; ///< Plain HTTP if null.
 };
 
@@ -81,6 +80,7 @@
     std::size_t openConnections() const;
 
 private:
+    friend class http_responder;
     struct implementation;
     std::unique_ptr<implementation> m_implementation;
 };
--- /dev/null
+++ b/test/failure/io_http_test.cpp
@@ -0,0 +1,405 @@
+// Guards against a truncated answer being taken for a whole one, against "not connected" being
+// reported when bytes may have been sent, and against peers that exceed the bounds or go away.
+
+#include "failure/io_raw_peer.h"
+
+#include <gtest/gtest.h>
+
+using namespace crocuswind;
+
+namespace {
+
+struct http_test : testing::Test
+{
+    ip_endpoint serve(http_server::handler h, http_server_settings settings = {})
+    {
+        server = std::make_unique<http_server>(loop, settings, std::move(h));
+        return *server->listen({"127.0.0.1", 0});
+    }
+
+    http_call callTo(const ip_endpoint &to, const std::string &body = "ping")
+    {
+        http_call call;
+        call.to = to;
+        call.path = "/run?x=1";
+        call.body = body;
+        call.deadline = loop.now() + testLimit;
+        return call;
+    }
+
+    http_result exchange(const http_call &call)
+    {
+        std::optional<http_result> result;
+        client.send(call, [&](const http_result &r) { result = r; });
+        EXPECT_TRUE(loop.runUntil([&] { return result.has_value(); }, testLimit));
+        return result.value_or(http_result());
+    }
+
+    // Answers every request of a raw server with fixed bytes, then closes.
+    http_result answerWith(const std::string &bytes)
+    {
+        raw_server raw(loop, [&](raw_connection &c) {
+            if (bytes.empty()) {
+                c.close();
+                return;
+            }
+            c.closeWhenSent();
+            c.send(bytes);
+        });
+        return exchange(callTo(raw.endpoint));
+    }
+
+    event_loop loop;
+    std::unique_ptr<http_server> server;
+    http_client client{loop, {}};
+};
+
+} // namespace
+
+TEST_F(http_test, WholeExchange)
+{
+    http_request seen;
+    const ip_endpoint to = serve([&](http_request request, const http_responder &responder) {
+        seen = std::move(request);
+        responder.answer({201, "text/plain", {{"x-a", "b"}}, "pong"});
+    });
+    http_call call = callTo(to);
+    call.headers = {{"traceparent", "t"}};
+    const http_result result = exchange(call);
+    EXPECT_EQ(result.outcome, http_outcome::answered);
+    EXPECT_EQ(result.status, 201);
+    EXPECT_EQ(result.body, "pong");
+    EXPECT_EQ(headerValue(result.headers, "x-a"), "b");
+    EXPECT_EQ(seen.method, "POST");
+    EXPECT_EQ(seen.path, "/run");
+    EXPECT_EQ(seen.query, "x=1");
+    EXPECT_EQ(seen.body, "ping");
+    EXPECT_EQ(headerValue(seen.headers, "traceparent"), "t");
+    EXPECT_EQ(seen.peerAddress, "127.0.0.1");
+    EXPECT_EQ(server->openRequests(), 0U);
+    EXPECT_EQ(client.connections(to), 1);
+}
+
+TEST_F(http_test, LargeBodiesArriveWhole)
+{
+    const std::string large(1024 * 1024, 'x');
+    const ip_endpoint to = serve([&](const http_request &request, const http_responder &responder) {
+        responder.answer({200, "text/plain", {}, request.body});
+    });
+    EXPECT_EQ(exchange(callTo(to, large)).body, large);
+}
+
+TEST_F(http_test, ConnectionsAreUsedAgain)
+{
+    const ip_endpoint to
+        = serve([](const http_request &, const http_responder &r) { r.answer({}); });
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(exchange(callTo(to)).outcome, http_outcome::answered);
+    EXPECT_EQ(server->openConnections(), 1U);
+}
+
+TEST_F(http_test, TruncatedAnswersAreNoAnswer)
+{
+    EXPECT_EQ(answerWith("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npong").outcome,
+              http_outcome::answered);
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    EXPECT_EQ(answerWith(chunked + "4\r\npong\r\n0\r\n\r\n").body, "pong");
+    for (const std::string &bytes :
+         {std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npong"),
+          std::string("HTTP/1.1 200 OK\r\n\r\npong"), std::string("HTTP/1.1 200 OK\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 5"), std::string(), chunked,
+          chunked + "4\r\npong\r\n", chunked + "4\r\npo", chunked + "4\r\npong\r\n0\r\n",
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\npong"),
+          std::string("nonsense\r\n\r\n")})
+        EXPECT_EQ(answerWith(bytes).outcome, http_outcome::no_answer) << bytes;
+}
+
+TEST_F(http_test, AnAnswerWithoutLengthIsNoAnswer)
+{
+    // Ends with the connection, so nobody can tell whether it was cut off.
+    EXPECT_EQ(answerWith("HTTP/1.0 200 OK\r\nConnection: close\r\n\r\npong").outcome,
+              http_outcome::no_answer);
+}
+
+TEST_F(http_test, RefusedConnectionIsNotConnected)
+{
+    EXPECT_EQ(exchange(callTo(unusedEndpoint(loop))).outcome, http_outcome::not_connected);
+}
+
+TEST_F(http_test, HostNamesAreNotResolved)
+{
+    EXPECT_EQ(exchange(callTo({"localhost", 80})).outcome, http_outcome::not_connected);
+}
+
+TEST_F(http_test, ConnectionCutAfterTheRequestIsNoAnswer)
+{
+    raw_server raw(loop, [](raw_connection &c) { c.close(); });
+    EXPECT_EQ(exchange(callTo(raw.endpoint)).outcome, http_outcome::no_answer);
+}
+
+TEST_F(http_test, DeadlineWithoutAnswerIsNoAnswer)
+{
+    raw_server raw(loop, nullptr);
+    http_call call = callTo(raw.endpoint);
+    call.deadline = loop.now() + 50ms;
+    const http_result result = exchange(call);
+    EXPECT_NE(result.outcome, http_outcome::answered);
+    EXPECT_GE(loop.now(), call.deadline);
+    EXPECT_EQ(client.connections(raw.endpoint), 0);
+}
+
+TEST_F(http_test, ConnectionClosedWhileIdleIsNotUsedAgain)
+{
+    raw_server raw(
+        loop, [](raw_connection &c) { c.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); });
+    EXPECT_EQ(exchange(callTo(raw.endpoint)).outcome, http_outcome::answered);
+    raw.connections[0]->close();
+    EXPECT_TRUE(loop.runUntil([&] { return client.connections(raw.endpoint) == 0; }, testLimit));
+    EXPECT_EQ(exchange(callTo(raw.endpoint)).outcome, http_outcome::answered);
+    EXPECT_EQ(raw.connections.size(), 2U);
+}
+
+TEST_F(http_test, PoolLimitIsKeptAndTheQueueIsBounded)
+{
+    std::vector<http_responder> held;
+    const ip_endpoint to = serve(
+        [&](const http_request &, const http_responder &responder) { held.push_back(responder); });
+    http_client small(loop, [] {
+        http_client_settings s;
+        s.maxConnectionsPerEndpoint = 2;
+        s.maxQueuedPerEndpoint = 3;
+        return s;
+    }());
+    int answered = 0;
+    int refused = 0;
+    for (int i = 0; i < 6; ++i)
+        small.send(callTo(to), [&](const http_result &r) {
+            answered += r.outcome == http_outcome::answered ? 1 : 0;
+            refused += r.outcome == http_outcome::not_connected ? 1 : 0;
+        });
+    EXPECT_TRUE(loop.runUntil([&] { return held.size() == 2 && refused == 1; }, testLimit));
+    EXPECT_EQ(small.connections(to), 2);
+    for (std::size_t next = 0; next < 5; ++next) {
+        EXPECT_TRUE(loop.runUntil([&] { return held.size() > next; }, testLimit));
+        EXPECT_LE(server->openRequests(), 2U);
+        held[next].answer({});
+    }
+    EXPECT_TRUE(loop.runUntil([&] { return answered == 5; }, testLimit));
+}
+
+TEST_F(http_test, CancelledCallIsNotReportedAndTheServerSeesTheCallerGone)
+{
+    int gone = 0;
+    std::optional<http_responder> held;
+    const ip_endpoint to = serve([&](const http_request &, const http_responder &responder) {
+        responder.onGone([&] { ++gone; });
+        held = responder;
+    });
+    bool isReported = false;
+    const http_call_id id
+        = client.send(callTo(to), [&](const http_result &) { isReported = true; });
+    EXPECT_TRUE(loop.runUntil([&] { return held.has_value(); }, testLimit));
+    EXPECT_EQ(server->openRequests(), 1U);
+    client.cancel(id);
+    EXPECT_TRUE(loop.runUntil([&] { return gone == 1; }, testLimit));
+    EXPECT_TRUE(held->isGone());
+    EXPECT_EQ(server->openRequests(), 0U);
+    held->answer({});
+    EXPECT_TRUE(loop.runUntil([&] { return server->openConnections() == 0; }, testLimit));
+    EXPECT_FALSE(isReported);
+}
+
+TEST_F(http_test, FurtherRequestBytesDuringARequestAreHarmless)
+{
+    std::vector<http_responder> held;
+    const ip_endpoint to = serve(
+        [&](const http_request &, const http_responder &responder) { held.push_back(responder); });
+    raw_connection caller(loop, to);
+    caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(loop.runUntil([&] { return held.size() == 1; }, testLimit));
+    caller.send("GET /c HTTP/1.1\r\nHost: x\r\n\r\n");
+    for (std::size_t next = 0; next < 3; ++next) {
+        EXPECT_TRUE(loop.runUntil([&] { return held.size() > next; }, testLimit));
+        held[next].answer({200, "text/plain", {}, "answer"});
+    }
+    const auto count = [&] {
+        std::size_t n = 0;
+        for (auto at = caller.received.find("answer"); at != std::string::npos;
+             at = caller.received.find("answer", at + 1))
+            ++n;
+        return n;
+    };
+    EXPECT_TRUE(loop.runUntil([&] { return count() == 3; }, testLimit));
+}
+
+TEST_F(http_test, DroppedResponderAnswers500)
+{
+    const ip_endpoint to = serve([](const http_request &, const http_responder &) {});
+    EXPECT_EQ(exchange(callTo(to)).status, 500);
+}
+
+TEST_F(http_test, OversizedRequestsAreRefused)
+{
+    int handled = 0;
+    http_server_settings settings;
+    settings.maxBodyBytes = 1000;
+    settings.maxHeaderBytes = 2000;
+    const ip_endpoint to = serve(
+        [&](const http_request &, const http_responder &r) {
+            ++handled;
+            r.answer({});
+        },
+        settings);
+    EXPECT_EQ(exchange(callTo(to, std::string(1000, 'x'))).status, 200);
+    EXPECT_EQ(exchange(callTo(to, std::string(1001, 'x'))).status, 413);
+    http_call call = callTo(to);
+    call.headers = {{"x-large", std::string(3000, 'x')}};
+    const http_result result = exchange(call);
+    EXPECT_TRUE(result.outcome == http_outcome::no_answer || result.status >= 400) << result.status;
+    EXPECT_EQ(handled, 1);
+}
+
+TEST_F(http_test, ConflictingLengthsAreRefused)
+{
+    int handled = 0;
+    const ip_endpoint to = serve([&](const http_request &, const http_responder &) { ++handled; });
+    raw_connection caller(loop, to);
+    caller.send(
+        "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    EXPECT_TRUE(loop.runUntil([&] { return caller.isClosed; }, testLimit));
+    EXPECT_EQ(caller.received.substr(0, 12), "HTTP/1.1 400");
+    EXPECT_EQ(handled, 0);
+}
+
+TEST_F(http_test, OversizedAnswersAreNoAnswer)
+{
+    const ip_endpoint to = serve([](const http_request &, const http_responder &r) {
+        r.answer({200, "text/plain", {}, std::string(1001, 'x')});
+    });
+    http_call call = callTo(to);
+    call.maxAnswerBytes = 1000;
+    EXPECT_EQ(exchange(call).outcome, http_outcome::no_answer);
+    call.maxAnswerBytes = 1001;
+    EXPECT_EQ(exchange(call).outcome, http_outcome::answered);
+}
+
+TEST_F(http_test, SilentConnectionsAreClosed)
+{
+    http_server_settings settings;
+    settings.idleLimit = 100ms;
+    const ip_endpoint to
+        = serve([](const http_request &, const http_responder &r) { r.answer({}); }, settings);
+    raw_connection silent(loop, to);
+    raw_connection halfway(loop, to);
+    halfway.send("GET / HTTP/1.1\r\nHo");
+    EXPECT_TRUE(loop.runUntil([&] { return silent.isClosed && halfway.isClosed; }, testLimit));
+    EXPECT_TRUE(loop.runUntil([&] { return server->openConnections() == 0; }, testLimit));
+}
+
+TEST_F(http_test, ConnectionLimitHoldsFurtherConnectionsBack)
+{
+    int handled = 0;
+    http_server_settings settings;
+    settings.maxConnections = 2;
+    const ip_endpoint to = serve(
+        [&](const http_request &, const http_responder &r) {
+            ++handled;
+            r.answer({});
+        },
+        settings);
+    auto first = std::make_unique<raw_connection>(loop, to);
+    raw_connection second(loop, to);
+    EXPECT_TRUE(loop.runUntil([&] { return server->openConnections() == 2; }, testLimit));
+    std::optional<http_result> result;
+    client.send(callTo(to), [&](const http_result &r) { result = r; });
+    second.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(loop.runUntil([&] { return handled == 1; }, testLimit));
+    EXPECT_EQ(server->openConnections(), 2U);
+    EXPECT_FALSE(result);
+    first.reset();
+    EXPECT_TRUE(loop.runUntil([&] { return result.has_value(); }, testLimit));
+    EXPECT_EQ(result->status, 200);
+}
+
+TEST_F(http_test, DrainingServerFinishesOpenRequestsAndAcceptsNoConnection)
+{
+    std::optional<http_responder> held;
+    const ip_endpoint to
+        = serve([&](const http_request &, const http_responder &responder) { held = responder; });
+    raw_connection idle(loop, to);
+    std::optional<http_result> result;
+    client.send(callTo(to), [&](const http_result &r) { result = r; });
+    EXPECT_TRUE(loop.runUntil([&] { return held && server->openConnections() == 2; }, testLimit));
+    server->stopAccepting();
+    EXPECT_TRUE(loop.runUntil([&] { return idle.isClosed; }, testLimit));
+    EXPECT_EQ(server->openRequests(), 1U);
+    held->answer({200, "text/plain", {}, "last"});
+    EXPECT_TRUE(loop.runUntil([&] { return result.has_value(); }, testLimit));
+    EXPECT_EQ(result->body, "last");
+    EXPECT_EQ(headerValue(result->headers, "connection"), "close");
+    EXPECT_EQ(exchange(callTo(to)).outcome, http_outcome::not_connected);
+}
+
+TEST_F(http_test, PortInUseIsAClearError)
+{
+    const ip_endpoint to = serve([](const http_request &, const http_responder &) {});
+    http_server second(loop, {}, [](const http_request &, const http_responder &) {});
+    const auto listening = second.listen(to);
+    ASSERT_FALSE(listening);
+    EXPECT_NE(listening.error().find(toString(to)), std::string::npos);
+    EXPECT_NE(listening.error().find("in use"), std::string::npos);
+}
+
+TEST_F(http_test, ServerMayGoAwayBeforeItsResponders)
+{
+    std::optional<http_responder> held;
+    const ip_endpoint to
+        = serve([&](const http_request &, const http_responder &responder) { held = responder; });
+    std::optional<http_result> result;
+    client.send(callTo(to), [&](const http_result &r) { result = r; });
+    EXPECT_TRUE(loop.runUntil([&] { return held.has_value(); }, testLimit));
+    server.reset();
+    held->answer({});
+    EXPECT_TRUE(loop.runUntil([&] { return result.has_value(); }, testLimit));
+    EXPECT_EQ(result->outcome, http_outcome::no_answer);
+}
+
+TEST_F(http_test, StreamDeliversPiecesAndItsEnd)
+{
+    raw_connection *peer = nullptr;
+    raw_server raw(loop, [&](raw_connection &c) {
+        peer = &c;
+        c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n");
+    });
+    std::string received;
+    std::optional<http_result> end;
+    client.stream(
+        callTo(raw.endpoint), testLimit, [&](std::string_view bytes) { received += bytes; },
+        [&](const http_result &r) { end = r; });
+    EXPECT_TRUE(loop.runUntil([&] { return received == "one"; }, testLimit));
+    peer->send("3\r\ntwo\r\n");
+    EXPECT_TRUE(loop.runUntil([&] { return received == "onetwo"; }, testLimit));
+    EXPECT_FALSE(end);
+    peer->close();
+    EXPECT_TRUE(loop.runUntil([&] { return end.has_value(); }, testLimit));
+    EXPECT_EQ(end->outcome, http_outcome::no_answer);
+}
+
+TEST_F(http_test, StreamMayBeCancelledFromItsPiece)
+{
+    raw_server raw(loop, [&](raw_connection &c) {
+        c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n");
+    });
+    std::string received;
+    http_call_id id = 0;
+    id = client.stream(
+        callTo(raw.endpoint), testLimit,
+        [&](std::string_view bytes) {
+            received += bytes;
+            client.cancel(id);
+        },
+        [&](const http_result &) { received += "reported"; });
+    EXPECT_TRUE(loop.runUntil(
+        [&] { return !raw.connections.empty() && raw.connections[0]->isClosed; }, testLimit));
+    EXPECT_EQ(received, "a");
+}
--- /dev/null
+++ b/test/failure/io_raw_peer.h
@@ -0,0 +1,133 @@
+/// A TCP server that sends exactly the bytes a test gives it, for peers that break the protocol.
+#ifndef CROCUSWIND_TEST_IO_RAW_PEER_H
+#define CROCUSWIND_TEST_IO_RAW_PEER_H
+
+#include "io/io.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <functional>
+#include <gtest/gtest.h>
+#include <memory>
+#include <string>
+#include <sys/socket.h>
+#include <vector>
+
+namespace crocuswind {
+
+/// Guards a test against waiting for ever; no test depends on the value.
+constexpr duration testLimit = 20s;
+
+/// One raw connection, accepted or dialled.
+class raw_connection
+{
+public:
+    raw_connection(event_loop &loop, evutil_socket_t socket)
+        : m_socket(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
+    {
+        bufferevent_setcb(m_socket, onRead, nullptr, onEvent, this);
+        bufferevent_enable(m_socket, EV_READ | EV_WRITE);
+    }
+    raw_connection(event_loop &loop, const ip_endpoint &to)
+        : raw_connection(loop, -1)
+    {
+        sockaddr_storage address = {};
+        int length = sizeof(address);
+        evutil_parse_sockaddr_port(toString(to).c_str(), reinterpret_cast<sockaddr *>(&address),
+                                   &length);
+        bufferevent_socket_connect(m_socket, reinterpret_cast<sockaddr *>(&address), length);
+    }
+    ~raw_connection() { close(); }
+    raw_connection(const raw_connection &) = delete;
+    raw_connection &operator=(const raw_connection &) = delete;
+
+    void send(std::string_view bytes) { bufferevent_write(m_socket, bytes.data(), bytes.size()); }
+    void close()
+    {
+        if (m_socket != nullptr)
+            bufferevent_free(m_socket);
+        m_socket = nullptr;
+        isClosed = true;
+    }
+    /// Closes once all bytes have been handed to the system.
+    void closeWhenSent()
+    {
+        bufferevent_setcb(
+            m_socket, onRead,
+            [](bufferevent *, void *self) { static_cast<raw_connection *>(self)->close(); },
+            onEvent, this);
+    }
+
+    std::string received;
+    bool isClosed = false;
+    std::function<void(raw_connection &)> onBytes;
+
+private:
+    static void onRead(bufferevent *socket, void *self)
+    {
+        auto *c = static_cast<raw_connection *>(self);
+        char bytes[4096];
+        while (const std::size_t count = bufferevent_read(socket, bytes, sizeof(bytes)))
+            c->received.append(bytes, count);
+        if (c->onBytes)
+            c->onBytes(*c);
+    }
+    static void onEvent(bufferevent *, short what, void *self)
+    {
+        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+            static_cast<raw_connection *>(self)->isClosed = true;
+    }
+
+    bufferevent *m_socket;
+};
+
+/// Accepts connections and lets a function answer them.
+class raw_server
+{
+public:
+    raw_server(event_loop &loop, std::function<void(raw_connection &)> onBytes)
+        : m_loop(loop)
+        , m_onBytes(std::move(onBytes))
+    {
+        sockaddr_in address = {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        m_listener = evconnlistener_new_bind(
+            loop.base(),
+            [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *self) {
+                auto *s = static_cast<raw_server *>(self);
+                s->connections.push_back(std::make_unique<raw_connection>(s->m_loop, socket));
+                s->connections.back()->onBytes = s->m_onBytes;
+            },
+            this, LEV_OPT_CLOSE_ON_FREE, 16, reinterpret_cast<sockaddr *>(&address),
+            sizeof(address));
+        socklen_t length = sizeof(address);
+        getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr *>(&address),
+                    &length);
+        endpoint = {"127.0.0.1", ntohs(address.sin_port)};
+    }
+    ~raw_server() { evconnlistener_free(m_listener); }
+    raw_server(const raw_server &) = delete;
+    raw_server &operator=(const raw_server &) = delete;
+
+    ip_endpoint endpoint;
+    std::vector<std::unique_ptr<raw_connection>> connections;
+
+private:
+    event_loop &m_loop;
+    std::function<void(raw_connection &)> m_onBytes;
+    evconnlistener *m_listener;
+};
+
+/// Returns an endpoint on which nobody listens: the port of a listener that is gone.
+inline ip_endpoint unusedEndpoint(event_loop &loop)
+{
+    return raw_server(loop, nullptr).endpoint;
+}
+
+} // namespace crocuswind
+
+#endif
