--- a/packages/urgent/urgent_settings.h
+++ b/packages/urgent/urgent_settings.h
@@ -46,6 +46,9 @@
     duration maxTimeLeft = 60s; ///< Longer deadlines are shortened, so that state is freed.
 
     duration dispatchLimit = 5s; ///< Greatest time from a dispatch to its deadline.
+    /// A runner counts the time left from the arrival of a request, so it may work on it this much
+    /// longer than the attempt's deadline.
+    duration slotMargin = 250ms;
     duration quarantineMargin = 1s; ///< Added to the dispatch limit for clock drift.
     duration peerGrace
         = 500ms; ///< Waiting for a peer's answer goes on this long past the deadline.
@@ -59,7 +62,7 @@
     double maxRetryCredit = 10; ///< Retries that a quiet team can save up.
     duration retryBackoff = 20ms; ///< Doubled for each further attempt, jittered by half.
     /// Part of the slots that normal requests leave free, so that urgent ones find one at once.
-    double urgentReserve = 0.1;
+    double urgentReserve = 0.05;
 };
 
 } // namespace crocuswind
--- /dev/null
+++ b/test/failure/urgent_fleet_test.cpp
@@ -0,0 +1,71 @@
+// Guards against untrue outcomes, double execution, foreign answers, work for leaving runners,
+// exceeded slots and interrupted requests under loss, duplication, reordering, death, pauses and
+// drains.
+
+#include "urgent_fleet_impl.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace crocuswind;
+
+namespace {
+
+fleet_settings makeSettings(std::uint64_t seed, const std::vector<std::uint32_t> &faults)
+{
+    fleet_settings s;
+    s.seed = seed;
+    for (std::uint32_t f : faults)
+        s.faults.push_back({fleet_fault::kind(f % 12),
+                            duration(std::int64_t((f / 12) % 15'000) * 1000), (f / 180'000) % 64});
+    return s;
+}
+
+void checkRun(const fleet_settings &settings)
+{
+    fleet f(settings);
+    const auto violations = f.run();
+    RC_LOG() << "seed " << settings.seed << ": "
+             << (violations.empty() ? std::string() : violations.front()) << std::endl;
+    RC_ASSERT(violations.empty());
+}
+
+rc::Gen<std::uint64_t> anySeed()
+{
+    return rc::gen::inRange<std::uint64_t>(0, 1'000'000'000);
+}
+
+rc::Gen<std::vector<std::uint32_t>> anyFaults()
+{
+    return rc::gen::container<std::vector<std::uint32_t>>(
+        rc::gen::inRange<std::uint32_t>(0, 12 * 15'000 * 64));
+}
+
+} // namespace
+
+RC_GTEST_PROP(UrgentFleet, KeepsTheInvariantsUnderFaults, ())
+{
+    fleet_settings s = makeSettings(*anySeed(), *anyFaults());
+    s.lossPercent = *rc::gen::inRange(0, 20);
+    s.duplicatePercent = *rc::gen::inRange(0, 30);
+    checkRun(s);
+}
+
+RC_GTEST_PROP(UrgentFleet, KeepsTheInvariantsUnderOverload, ())
+{
+    fleet_settings s = makeSettings(*anySeed(), *anyFaults());
+    s.requests = 400;
+    s.arrivals = 4s;
+    checkRun(s);
+}
+
+TEST(UrgentFleet, AnswersNearlyAllWithoutFaults)
+{
+    fleet_settings s;
+    s.seed = 1;
+    s.lossPercent = 0;
+    s.duplicatePercent = 0;
+    fleet f(s);
+    EXPECT_EQ(f.run(), std::vector<std::string>());
+    EXPECT_GT(f.answered(), 100);
+}
