Test admission, runner health, retries, seats and drains on one core

The tests found that an identifier that expired between two events was still accepted by the first event after its time; the ledger now expires before an event is handled.

--- a/packages/urgent/request_core.cpp
+++ b/packages/urgent/request_core.cpp
@@ -197,7 +197,6 @@
 
 void request_core::state::finishEvent()
 {
-    ledger.expire(now);
     orders.expire(now);
     const bool isEmpty
         = requests.empty() && attempts.empty() && forwards.empty() && questions.empty();
@@ -224,6 +223,7 @@
 {
     m_state->now = std::max(m_state->now, event.now);
     m_state->actions.clear();
+    m_state->ledger.expire(m_state->now);
     m_state->runTimers();
     std::visit([this](const auto &e) { m_state->handle(e); }, event.what);
     m_state->finishEvent();
--- /dev/null
+++ b/test/correctness/urgent_core_test.cpp
@@ -0,0 +1,240 @@
+// Guards against wrong outcomes, seats that are used without right, and retries, cancellations and
+// drains that break their limits, on one entry host.
+
+#include "urgent_single_core.h"
+
+#include "urgent/capacity_share.h"
+#include "urgent/retry_budget.h"
+
+#include <rapidcheck/gtest.h>
+
+using namespace crocuswind;
+using kind = runner_result::kind;
+
+TEST(RequestCore, AnswersARepeatedIdentifierFromTheLedger)
+{
+    single_core c;
+    c.submit(false);
+    const auto d = *c.last<dispatch_to_runner>();
+    c.result(d, kind::answered);
+    const caller_token again = c.submit(false, "lab", urgency::urgent, 2s, d.id);
+    EXPECT_EQ(c.replyTo(again), (request_outcome{outcome_kind::answered, {}, "answer"}));
+    EXPECT_EQ(c.every<dispatch_to_runner>().size(), 1U);
+}
+
+TEST(RequestCore, RefusesAnExpiredIdentifierAsUnknown)
+{
+    single_core c;
+    c.send(identifier_asked{++c.lastCaller});
+    const request_id id = c.last<reply_identifier>()->id;
+    c.now += duration(601s);
+    const caller_token caller = c.submit(false, "lab", urgency::urgent, 2s, id);
+    EXPECT_EQ(c.replyTo(caller), unknownOutcome(outcome_reason::identifier_expired));
+    EXPECT_TRUE(c.every<dispatch_to_runner>().empty());
+}
+
+TEST(RequestCore, TakesALateAnswerAfterUnknown)
+{
+    single_core c;
+    const caller_token caller = c.submit(false, "lab", urgency::urgent, 1s);
+    const auto d = *c.last<dispatch_to_runner>();
+    c.wait(1100ms);
+    EXPECT_EQ(c.replyTo(caller), unknownOutcome(outcome_reason::runner_silent));
+    c.result(d, kind::answered);
+    c.send(outcome_asked{99, d.id});
+    EXPECT_EQ(c.replyTo(99)->kind, outcome_kind::answered);
+}
+
+TEST(RequestCore, ReportsAnUnusedIdentifierAsPending)
+{
+    // "Not run" would become untrue if the request came afterwards.
+    single_core c;
+    c.send(identifier_asked{++c.lastCaller});
+    c.send(outcome_asked{99, c.last<reply_identifier>()->id});
+    EXPECT_EQ(c.replyTo(99)->kind, outcome_kind::pending);
+}
+
+TEST(RequestCore, IgnoresTheAnswerOfAnEarlierAttempt)
+{
+    single_core c;
+    for (int i = 0; i < 10; ++i) { // Earns the credit for a retry.
+        c.submit();
+        c.result(*c.last<dispatch_to_runner>(), kind::answered);
+    }
+    const caller_token caller = c.submit(true, "lab", urgency::urgent, 2s);
+    const auto first = *c.last<dispatch_to_runner>();
+    c.wait(1100ms); // The first attempt is cut at half of the time left.
+    const auto second = *c.last<dispatch_to_runner>();
+    EXPECT_NE(first.attempt, second.attempt);
+    EXPECT_NE(first.runner, second.runner);
+    EXPECT_EQ(c.last<cancel_attempt>()->attempt, first.attempt);
+    c.result(first, kind::answered);
+    EXPECT_EQ(c.replyTo(caller), std::nullopt);
+    c.result(second, kind::answered);
+    EXPECT_EQ(c.replyTo(caller)->kind, outcome_kind::answered);
+}
+
+TEST(RequestCore, RetriesAnUnrepeatableRequestOnlyIfItDidNotStart)
+{
+    single_core c;
+    const caller_token refused = c.submit(false);
+    const auto first = *c.last<dispatch_to_runner>();
+    c.result(first, kind::refused_before_start, true);
+    const auto second = *c.last<dispatch_to_runner>();
+    EXPECT_NE(second.runner, first.runner);
+    c.result(second, kind::failed);
+    EXPECT_EQ(c.replyTo(refused), unknownOutcome(outcome_reason::runner_failed));
+    EXPECT_EQ(c.every<dispatch_to_runner>().size(), 2U);
+}
+
+TEST(RequestCore, NeverTurnsAFailedAttemptIntoNotRun)
+{
+    // The first attempt may have run; a refusal of the second says nothing about it.
+    single_core c;
+    for (int i = 0; i < 10; ++i) {
+        c.submit();
+        c.result(*c.last<dispatch_to_runner>(), kind::answered);
+    }
+    const caller_token caller = c.submit();
+    c.result(*c.last<dispatch_to_runner>(), kind::no_answer);
+    c.wait(100ms);
+    c.result(*c.last<dispatch_to_runner>(), kind::refused_before_start);
+    EXPECT_EQ(c.replyTo(caller)->kind, outcome_kind::unknown);
+}
+
+TEST(RequestCore, CancelsWhenTheCallerIsGone)
+{
+    single_core c(1, 1);
+    const caller_token running = c.submit();
+    const auto d = *c.last<dispatch_to_runner>();
+    const caller_token queued = c.submit(false);
+    c.send(request_caller_gone{queued});
+    EXPECT_EQ(c.core.counts().queued, 0U);
+    c.send(request_caller_gone{running});
+    EXPECT_EQ(c.last<cancel_attempt>()->attempt, d.attempt);
+    // The slot stays taken until the runner must have dropped the work.
+    EXPECT_EQ(c.core.counts().slotsTaken, 1U);
+    c.result(d, kind::no_answer);
+    EXPECT_EQ(c.core.counts().slotsTaken, 1U);
+    c.wait(2300ms);
+    EXPECT_EQ(c.core.counts().slotsTaken, 0U);
+}
+
+TEST(RequestCore, LetsAnUnrepeatableRequestFinishWithoutItsCaller)
+{
+    single_core c;
+    const caller_token caller = c.submit(false);
+    const auto d = *c.last<dispatch_to_runner>();
+    c.send(request_caller_gone{caller});
+    EXPECT_FALSE(c.last<cancel_attempt>());
+    c.result(d, kind::answered);
+    c.send(outcome_asked{99, d.id});
+    EXPECT_EQ(c.replyTo(99)->kind, outcome_kind::answered);
+}
+
+TEST(RequestCore, QuarantinesAShareThatWasNotReleased)
+{
+    single_core c;
+    c.send(urgent_seat_lost{});
+    c.send(urgent_seat_granted{0, 1, instant::max(), false});
+    c.submit(true, "lab", urgency::urgent, 10s);
+    EXPECT_FALSE(c.last<dispatch_to_runner>());
+    c.wait(5990ms);
+    EXPECT_FALSE(c.last<dispatch_to_runner>());
+    c.wait(20ms);
+    EXPECT_TRUE(c.last<dispatch_to_runner>());
+}
+
+TEST(RequestCore, DispatchesNothingWithoutAValidSeat)
+{
+    single_core c;
+    c.send(urgent_seat_granted{0, 1, c.now + duration(1s), true});
+    c.now += duration(1s);
+    const caller_token caller = c.submit();
+    EXPECT_EQ(c.replyTo(caller), notRun(outcome_reason::no_capacity));
+    EXPECT_TRUE(c.every<dispatch_to_runner>().empty());
+}
+
+TEST(RequestCore, DrainsAfterTheBalancersDelayWithoutInterruptions)
+{
+    single_core c(1, 1);
+    const caller_token running = c.submit(false);
+    const auto d = *c.last<dispatch_to_runner>();
+    c.send(urgent_drain{});
+    std::string reason;
+    EXPECT_FALSE(c.core.isReady(&reason));
+    const caller_token queued = c.submit();
+    c.wait(1s);
+    EXPECT_EQ(c.replyTo(queued), std::nullopt); // It still serves.
+    c.result(d, kind::answered);
+    c.result(*c.last<dispatch_to_runner>(), kind::answered);
+    EXPECT_EQ(c.replyTo(running)->kind, outcome_kind::answered);
+    EXPECT_EQ(c.replyTo(queued)->kind, outcome_kind::answered);
+    EXPECT_FALSE(c.last<urgent_drained>());
+    c.wait(1100ms);
+    EXPECT_TRUE(c.last<urgent_drained>());
+    const caller_token late = c.submit();
+    EXPECT_EQ(c.replyTo(late), notRun(outcome_reason::draining));
+}
+
+TEST(RequestCore, EndsADrainWithinItsLimit)
+{
+    single_core c(1, 1);
+    c.submit(false);
+    const caller_token queued = c.submit(true, "lab", urgency::urgent, 60s);
+    c.send(urgent_drain{});
+    for (int i = 0; i < 3; ++i) { // Keeps the only slot busy until the limit.
+        c.wait(5200ms);
+        c.submit(true, "yard", urgency::urgent, 60s);
+    }
+    c.wait(15s);
+    EXPECT_TRUE(c.replyTo(queued));
+    EXPECT_EQ(c.every<urgent_drained>().size(), 1U);
+}
+
+TEST(RequestCore, StopsUsingALeavingRunnerAtOnce)
+{
+    single_core c(2, 2);
+    c.submit();
+    const auto d = *c.last<dispatch_to_runner>();
+    c.result(d, kind::answered, true);
+    c.send(c.listing); // The host list lags and still shows it as live.
+    for (int i = 0; i < 4; ++i)
+        c.submit();
+    for (const auto &later : c.every<dispatch_to_runner>())
+        EXPECT_TRUE(later.attempt == d.attempt || later.runner != d.runner);
+    // The list shows it as gone and then live: it was replaced.
+    const runners_listed full = c.listing;
+    c.list(0, 0);
+    c.send(full);
+    EXPECT_EQ(c.core.counts().leavingRunners, 0U);
+}
+
+RC_GTEST_PROP(CapacityShare, SplitsEverySlotToExactlyOneSeat, (const std::string &name))
+{
+    const int total = *rc::gen::inRange(0, 70);
+    const int seats = *rc::gen::inRange(1, 9);
+    int sum = 0;
+    for (int seat = 0; seat < seats; ++seat) {
+        const int part = seatPart(total, runner_id{name}, seat, seats);
+        RC_ASSERT(part >= total / seats && part <= total / seats + 1);
+        sum += part;
+    }
+    RC_ASSERT(sum == total);
+}
+
+RC_GTEST_PROP(RetryBudget, StaysWithinATenthOfFirstAttempts, (const std::vector<bool> &isRetry))
+{
+    retry_budget budget;
+    int first = 0;
+    int retries = 0;
+    for (bool r : isRetry) {
+        if (r) {
+            retries += budget.spend() ? 1 : 0;
+        } else {
+            ++first;
+            budget.earn(0.1, 10);
+        }
+        RC_ASSERT(retries * 10 <= first);
+    }
+}
--- a/test/failure/urgent_fleet.h
+++ b/test/failure/urgent_fleet.h
@@ -121,6 +121,7 @@
     void fail(const std::string &text);
     std::string answerFor(const request_id &id) const { return "answer to " + toString(id); }
 
+    const service_id m_service{"drift"};
     fleet_settings m_settings;
     seeded_random m_random;
     instant m_now;
--- a/test/failure/urgent_fleet_impl.h
+++ b/test/failure/urgent_fleet_impl.h
@@ -9,12 +9,7 @@
 
 namespace crocuswind {
 
-namespace {
-
-const service_id service{"drift"};
-const duration leaseTime = 3s;
-
-} // namespace
+constexpr duration leaseTime = 3s;
 
 inline fleet::fleet(const fleet_settings &settings)
     : m_settings(settings)
@@ -94,7 +89,7 @@
     deliver(
         host,
         {m_now,
-         urgent_quotas_applied{{{team_id{"lab"}, 1}, {team_id{"yard"}, 3}}, {{service, 200ms}}}});
+         urgent_quotas_applied{{{team_id{"lab"}, 1}, {team_id{"yard"}, 3}}, {{m_service, 200ms}}}});
     poll();
 }
 
@@ -163,7 +158,7 @@
             // The list lags: it shows a leaving runner as live for 1.5 s.
             if (r.dataCentre == h.dataCentre)
                 listed.runners.push_back(
-                    {r.name, service, r.slots, 16,
+                    {r.name, m_service, r.slots, 16,
                      r.isLeaving && m_now >= r.leavingSince + duration(1500ms)});
         }
         deliver(i, {m_now, peers});
@@ -264,7 +259,7 @@
 inline void fleet::submit(int number)
 {
     request_content content;
-    content.service = service;
+    content.service = m_service;
     content.team = team_id{number % 2 == 0 ? "lab" : "yard"};
     content.isRepeatable = number % 3 == 0;
     content.level = number % 5 == 0 ? urgency::normal : urgency::urgent;
--- /dev/null
+++ b/test/failure/urgent_runner_test.cpp
@@ -0,0 +1,111 @@
+// Guards against failing runners that keep or attract load, against ejections that take most of a
+// service away, and against retries that multiply the load.
+
+#include "../correctness/urgent_single_core.h"
+
+#include <map>
+
+using namespace crocuswind;
+using kind = runner_result::kind;
+
+namespace {
+
+/// Sends requests, \p together at a time every 10 ms; \p judge decides the results. Returns the
+/// dispatches by runner.
+template <class function>
+std::map<std::string, int> serve(single_core &c, int requests, int together, function judge)
+{
+    std::map<std::string, int> count;
+    std::vector<dispatch_to_runner> open;
+    const auto take = [&] {
+        for (const urgent_action &a : c.actions) {
+            if (const auto *d = std::get_if<dispatch_to_runner>(&a))
+                open.push_back(*d);
+        }
+    };
+    for (int sent = 0; sent < requests;) {
+        for (int i = 0; i < together && sent < requests; ++i, ++sent) {
+            c.submit();
+            take();
+        }
+        c.wait(10ms);
+        take();
+        while (!open.empty()) {
+            const dispatch_to_runner d = open.front();
+            open.erase(open.begin());
+            ++count[d.runner.value];
+            c.result(d, judge(d));
+            take();
+        }
+    }
+    return count;
+}
+
+} // namespace
+
+TEST(RunnerHealth, EjectsARunnerThatFailsAtOnceAndProbesIt)
+{
+    single_core c(10, 8);
+    const auto fails = [](const dispatch_to_runner &d) {
+        return d.runner.value == "runner-3" ? kind::failed : kind::answered;
+    };
+    serve(c, 600, 60, fails);
+    EXPECT_EQ(c.core.counts().ejectedRunners, 1U);
+    const auto later = serve(c, 12'000, 60, fails);
+    const auto found = later.find("runner-3");
+    const int share = found == later.end() ? 0 : found->second;
+    EXPECT_GE(share, 1); // Probes go on.
+    EXPECT_LT(share, 240); // 2% of the requests.
+    const auto good = [](const dispatch_to_runner &) { return kind::answered; };
+    c.wait(60s);
+    serve(c, 600, 60, good);
+    EXPECT_EQ(c.core.counts().ejectedRunners, 0U);
+}
+
+TEST(RunnerHealth, EjectsAtMostHalfOfAService)
+{
+    single_core c(6, 8);
+    std::map<std::string, int> calls;
+    serve(c, 600, 12, [&calls](const dispatch_to_runner &d) {
+        // All but one fail in bursts, so that each of them gives evidence of its own.
+        return d.runner.value != "runner-0" && ++calls[d.runner.value] % 8 < 4 ? kind::failed
+                                                                               : kind::answered;
+    });
+    EXPECT_GE(c.core.counts().ejectedRunners, 1U);
+    EXPECT_LE(c.core.counts().ejectedRunners, 3U);
+}
+
+TEST(RunnerHealth, TakesAnUnreachableRunnerOutAtOnceAndFindsItAgain)
+{
+    single_core c(2, 8);
+    const auto down = serve(c, 20, 12, [](const dispatch_to_runner &d) {
+        return d.runner.value == "runner-1" ? kind::not_connected : kind::answered;
+    });
+    EXPECT_LE(down.at("runner-1"), 6); // Those that were sent together.
+    c.wait(6s);
+    serve(c, 200, 12, [](const dispatch_to_runner &) { return kind::answered; });
+    EXPECT_EQ(c.core.counts().ejectedRunners, 0U);
+}
+
+TEST(RunnerHealth, DoesNotProbeWithUnrepeatableRequestsAfterFailures)
+{
+    single_core c(2, 8);
+    serve(c, 100, 12, [](const dispatch_to_runner &d) {
+        return d.runner.value == "runner-1" ? kind::failed : kind::answered;
+    });
+    ASSERT_EQ(c.core.counts().ejectedRunners, 1U);
+    c.wait(40s); // The pause is over and a probe is due.
+    c.submit(false);
+    EXPECT_EQ(c.last<dispatch_to_runner>()->runner.value, "runner-0");
+    c.submit(true);
+    EXPECT_EQ(c.last<dispatch_to_runner>()->runner.value, "runner-1");
+}
+
+TEST(Retries, StayWithinTheBudgetWhenEverythingFails)
+{
+    single_core c(4, 8);
+    serve(c, 500, 12, [](const dispatch_to_runner &) { return kind::failed; });
+    const request_counts counts = c.core.counts();
+    EXPECT_GT(counts.retries, 0U);
+    EXPECT_LE(counts.retries * 10, counts.firstAttempts);
+}
