Protect guarantees in floods and measure the policies

A flood of one team's urgent work left teams with normal work 3% of their guarantee, since the reserve of slots for urgent work held back normal work within its guarantee. At saturation a third of the started work ended after its deadline. Change: an urgent request displaces a normal one of its own team; the reserve applies to work beyond a guarantee; normal requests leave the better runners free while work queues; a request starts only with a margin before its deadline; urgent work that cannot start within 1.4 s is refused.

--- a/packages/urgent/admission_queue.cpp
+++ b/packages/urgent/admission_queue.cpp
@@ -115,16 +115,19 @@
                                                      std::size_t bytes,
                                                      std::vector<request_key> *displaced)
 {
-    if (m_teams[team].queued >= m_maxQueuedForTeam) {
-        // An urgent request takes the place of the newest normal one of its own team.
-        cell &c = cellOf(service, team);
-        if (level != urgency::urgent || c.lanes[1].empty())
-            return outcome_reason::queue_full;
-        drop(service, team, urgency::normal, c.lanes[1].back(), displaced);
-    }
+    // An urgent request takes the place of the newest normal one of its own team.
+    const auto takeOwnPlace = [&] {
+        const std::deque<request_key> &normal = cellOf(service, team).lanes[1];
+        if (level != urgency::urgent || normal.empty())
+            return false;
+        drop(service, team, urgency::normal, normal.back(), displaced);
+        return true;
+    };
+    if (m_teams[team].queued >= m_maxQueuedForTeam && !takeOwnPlace())
+        return outcome_reason::queue_full;
     while (m_queued >= m_maxQueued || m_payloadBytes + bytes > m_maxPayloadBytes) {
         const bool isFull = m_queued >= m_maxQueued;
-        if (!makeRoom(team, bytes, displaced))
+        if (!takeOwnPlace() && !makeRoom(team, bytes, displaced))
             return isFull ? outcome_reason::queue_full : outcome_reason::memory_full;
     }
     cellOf(service, team).lanes[std::size_t(level)].push_back(key);
@@ -199,7 +202,8 @@
 {
     if (service >= m_cells.size() || capacity.freeSlots <= 0)
         return std::nullopt;
-    const bool mayServeNormal = capacity.freeSlots > int(m_urgentReserve * capacity.slots);
+    // Requests beyond a guarantee leave the reserve free.
+    const bool mayBorrow = capacity.freeSlots > int(m_urgentReserve * capacity.slots);
     std::vector<cell> &cells = m_cells[service];
     int bestRank = 4;
     double bestRatio = 0;
@@ -212,11 +216,15 @@
         const double guaranteed = guarantee(team, capacity.slots);
         const double ratio = double(c.running + 1) / std::max(guaranteed, 1e-6);
         const bool isUrgentWithin = c.averageUrgent < guaranteed;
-        const bool isNormalWithin = double(c.running) < guaranteed;
+        const double normalGuarantee = guaranteed * (1 - m_urgentReserve);
+        const bool isNormalWithin = c.averageRunning < normalGuarantee
+            && (mayBorrow || double(c.running + 1) <= std::max(normalGuarantee, 1.0));
         for (std::size_t lane : {0, 1}) {
-            if (c.lanes[lane].empty() || (lane == 1 && !mayServeNormal))
+            if (c.lanes[lane].empty())
                 continue;
             const int rank = lane == 0 ? (isUrgentWithin ? 0 : 2) : (isNormalWithin ? 1 : 3);
+            if (rank >= 2 && !mayBorrow)
+                continue;
             if (rank < bestRank || (rank == bestRank && ratio < bestRatio)) {
                 bestRank = rank;
                 bestRatio = ratio;
@@ -245,8 +253,9 @@
 {
     const double elapsed = double((now - c.averagedAt).count());
     c.averagedAt = now;
-    c.averageUrgent = c.runningUrgent
-        + (c.averageUrgent - c.runningUrgent) * std::exp(-elapsed / averagingMicroseconds);
+    const double kept = std::exp(-elapsed / averagingMicroseconds);
+    c.averageUrgent = c.runningUrgent + (c.averageUrgent - c.runningUrgent) * kept;
+    c.averageRunning = c.running + (c.averageRunning - c.running) * kept;
 }
 
 void admission_queue::countStart(std::size_t service, std::size_t team, urgency level, instant now)
--- a/packages/urgent/admission_queue.h
+++ b/packages/urgent/admission_queue.h
@@ -33,9 +33,9 @@
 ///
 /// The order is: urgent requests of teams within their guarantee, normal requests of teams within
 /// it, urgent requests beyond it, normal requests beyond it; within each, the team furthest below
-/// its share. A team's urgent requests are within its guarantee by their average over about a
-/// second, so that a short burst is not held back; normal ones by the slots that the team holds
-/// now.
+/// its share. Use is averaged over about a second, so that a short burst is not held back. Requests
+/// beyond a guarantee leave a reserve of free slots to urgent ones within it; normal ones count as
+/// within it up to the guarantee less this reserve.
 class admission_queue
 {
 public:
@@ -108,6 +108,7 @@
         int running = 0;
         int runningUrgent = 0;
         double averageUrgent = 0; ///< Slots used by urgent requests, averaged over about a second.
+        double averageRunning = 0; ///< Slots used by all, averaged alike.
         instant averagedAt;
         bool isEmpty() const { return lanes[0].empty() && lanes[1].empty(); }
     };
--- a/packages/urgent/attempt_flow.cpp
+++ b/packages/urgent/attempt_flow.cpp
@@ -54,7 +54,7 @@
             return;
         live_request &r = requests.at(*key);
         // Work that will most likely end too late would only take slots from work that can succeed.
-        if (now + capacity.serviceTime / 2 >= r.deadline)
+        if (now + neededTime(r) > r.deadline)
             settle(*key, notRun(outcome_reason::deadline_too_near));
         else if (!dispatch(r))
             return;
@@ -76,7 +76,10 @@
     probe_use probe = probe_use::none;
     if (r.attempts == 0)
         probe = r.content.isRepeatable ? probe_use::any : probe_use::harmless;
-    const auto runner = runners.choose(r.service, now, routingRandom, r.lastRunner, probe);
+    // While work queues, normal requests keep to the slower runners.
+    const bool leaveBest = r.content.level == urgency::normal && queue.queuedFor(r.service) > 1;
+    const auto runner
+        = runners.choose(r.service, now, routingRandom, r.lastRunner, probe, leaveBest);
     if (!runner)
         return false;
     endQueueing(r);
--- a/packages/urgent/least_wait_policy.cpp
+++ b/packages/urgent/least_wait_policy.cpp
@@ -9,6 +9,10 @@
 /// idle.
 constexpr double failurePenalty = 20;
 
+/// Runners drawn at random when the best are to be left; the worst of them is taken. It costs the
+/// same for any number of runners, and the work is still spread.
+constexpr int leavingDraws = 4;
+
 } // namespace
 
 double least_wait_policy::scoreOf(std::size_t runner, const runner_view &view) const
@@ -51,11 +55,21 @@
     siftDown(m_positions[last]);
 }
 
-std::optional<std::size_t> least_wait_policy::choose(random_source &,
-                                                     std::optional<std::size_t> avoid)
+std::optional<std::size_t>
+least_wait_policy::choose(random_source &random, std::optional<std::size_t> avoid, bool leaveBest)
 {
     if (m_heap.empty())
         return std::nullopt;
+    if (leaveBest) {
+        std::size_t worst = m_heap[random.below(m_heap.size())];
+        for (int i = 1; i < leavingDraws; ++i) {
+            const std::size_t drawn = m_heap[random.below(m_heap.size())];
+            if (isBefore(worst, drawn))
+                worst = drawn;
+        }
+        if (worst != avoid)
+            return worst;
+    }
     if (m_heap[0] != avoid || m_heap.size() == 1)
         return m_heap[0];
     // The second best is one of the two children of the best.
--- a/packages/urgent/least_wait_policy.h
+++ b/packages/urgent/least_wait_policy.h
@@ -21,8 +21,8 @@
     { }
 
     void update(std::size_t runner, const runner_view &view) override;
-    std::optional<std::size_t> choose(random_source &random,
-                                      std::optional<std::size_t> avoid) override;
+    std::optional<std::size_t> choose(random_source &random, std::optional<std::size_t> avoid,
+                                      bool leaveBest) override;
 
 private:
     static constexpr std::size_t absent = ~std::size_t(0);
--- a/packages/urgent/peer_flow.cpp
+++ b/packages/urgent/peer_flow.cpp
@@ -56,6 +56,8 @@
 std::optional<host_id> request_core::state::betterHost(const live_request &r,
                                                        const std::optional<duration> &localWait)
 {
+    if (localWait && *localWait == duration(0))
+        return std::nullopt;
     struct candidate
     {
         const host_id *host;
--- a/packages/urgent/request_core.cpp
+++ b/packages/urgent/request_core.cpp
@@ -165,8 +165,12 @@
 void request_core::state::expire(const timer &t)
 {
     switch (t.kind) {
-    case timer_kind::request_deadline:
-        return settle(t.number, notRun(outcome_reason::deadline_passed));
+    case timer_kind::request_deadline: {
+        const bool hasPassed = now >= requests.at(t.number).deadline;
+        return settle(
+            t.number,
+            notRun(hasPassed ? outcome_reason::deadline_passed : outcome_reason::start_too_late));
+    }
     case timer_kind::retry_due: {
         live_request &r = requests.at(t.number);
         const std::size_t service = r.service;
--- a/packages/urgent/request_core_state.h
+++ b/packages/urgent/request_core_state.h
@@ -127,6 +127,7 @@
     void reply(const request_waiter &waiter, const std::optional<request_id> &id,
                const request_outcome &result);
     void endQueueing(live_request &r);
+    duration neededTime(const live_request &r) const;
     void releasePayload(live_request &r);
     service_capacity capacityOf(std::size_t service) const;
     std::optional<duration> localWait(std::size_t service, std::size_t team, urgency level) const;
--- a/packages/urgent/request_flow.cpp
+++ b/packages/urgent/request_flow.cpp
@@ -14,6 +14,9 @@
 /// While no runner is healthy, the next probe is about this far away.
 constexpr duration waitForProbe = 500ms;
 
+/// With lognormal service times of spread 0.5, 98% take less than three times the mean.
+constexpr int marginFactor = 3;
+
 } // namespace
 
 void request_core::state::submit(const request_waiter &waiter, const std::optional<request_id> &id,
@@ -117,6 +120,14 @@
     return queue.expectedWait(service, team, level, capacity);
 }
 
+duration request_core::state::neededTime(const live_request &r) const
+{
+    // Service times scatter: work that starts with only the mean time left often ends too late, and
+    // its slot is wasted. A short deadline leaves no room for that margin.
+    const duration mean = runners.serviceTime(r.service);
+    return std::max(mean, std::min(marginFactor * mean, (r.deadline - r.receivedAt) / 4));
+}
+
 void request_core::state::admit(live_request &r)
 {
     if (isRefusing)
@@ -138,8 +149,11 @@
         return settle(r.key,
                       notRun(isSeated ? outcome_reason::no_runner : outcome_reason::no_capacity));
     }
-    if (now + *wait + runners.serviceTime(r.service) > r.deadline)
+    if (now + *wait + neededTime(r) > r.deadline)
         return settle(r.key, notRun(outcome_reason::deadline_too_near));
+    const bool isUrgent = r.content.level == urgency::urgent;
+    if (isUrgent && *wait > settings.urgentStartLimit)
+        return settle(r.key, notRun(outcome_reason::start_too_late));
 
     std::vector<request_key> displaced;
     const std::size_t bytes = r.content.payload.size();
@@ -147,7 +161,9 @@
     const request_key key = r.key;
     if (!refusal) {
         r.heldBytes = bytes;
-        r.due = timers.schedule(r.deadline, timer_kind::request_deadline, key);
+        const instant startLimit = isUrgent ? now + settings.urgentStartLimit : r.deadline;
+        r.due
+            = timers.schedule(std::min(r.deadline, startLimit), timer_kind::request_deadline, key);
     }
     for (request_key other : displaced) {
         requests.at(other).heldBytes = 0;
@@ -155,8 +171,7 @@
     }
     if (refusal)
         return settle(key, notRun(*refusal));
-    const std::size_t numbered = *service;
-    pump(numbered);
+    pump(*service);
 }
 
 void request_core::state::endQueueing(live_request &r)
--- a/packages/urgent/request_outcome.cpp
+++ b/packages/urgent/request_outcome.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::array<std::string_view, 4> kindWords = {"pending", "answered", "not_run", "unknown"};
 
-constexpr std::array<std::string_view, 19> reasonWords = {"none",
+constexpr std::array<std::string_view, 20> reasonWords = {"none",
                                                           "draining",
                                                           "no_capacity",
                                                           "no_runner",
@@ -17,6 +17,7 @@
                                                           "memory_full",
                                                           "deadline_too_near",
                                                           "deadline_passed",
+                                                          "start_too_late",
                                                           "displaced",
                                                           "refused_by_runner",
                                                           "caller_gone",
--- a/packages/urgent/request_outcome.h
+++ b/packages/urgent/request_outcome.h
@@ -22,6 +22,7 @@
     memory_full, ///< The payloads held by this host have reached their bound.
     deadline_too_near, ///< The expected wait and service time exceed the time left.
     deadline_passed, ///< The deadline passed while the request was queued.
+    start_too_late, ///< An urgent request could not start within the limit for urgent work.
     displaced, ///< A queued normal request gave its place to an urgent one of the same team.
     refused_by_runner, ///< Every permitted attempt was refused before it started.
     caller_gone, ///< The caller closed its connection before the request was handed to a runner.
--- a/packages/urgent/routing_policy.cpp
+++ b/packages/urgent/routing_policy.cpp
@@ -46,8 +46,8 @@
         m_eligible.set(runner, view.isEligible);
     }
 
-    std::optional<std::size_t> choose(random_source &random,
-                                      std::optional<std::size_t> avoid) override
+    std::optional<std::size_t> choose(random_source &random, std::optional<std::size_t> avoid,
+                                      bool) override
     {
         if (m_eligible.members().empty())
             return std::nullopt;
@@ -69,7 +69,8 @@
             m_eligible.erase(runner);
     }
 
-    std::optional<std::size_t> choose(random_source &, std::optional<std::size_t> avoid) override
+    std::optional<std::size_t> choose(random_source &, std::optional<std::size_t> avoid,
+                                      bool) override
     {
         if (m_eligible.empty())
             return std::nullopt;
@@ -103,7 +104,8 @@
             m_eligible.insert({view.reportedLoad, runner});
     }
 
-    std::optional<std::size_t> choose(random_source &, std::optional<std::size_t> avoid) override
+    std::optional<std::size_t> choose(random_source &, std::optional<std::size_t> avoid,
+                                      bool) override
     {
         if (m_eligible.empty())
             return std::nullopt;
@@ -131,8 +133,8 @@
         m_eligible.set(runner, view.isEligible);
     }
 
-    std::optional<std::size_t> choose(random_source &random,
-                                      std::optional<std::size_t> avoid) override
+    std::optional<std::size_t> choose(random_source &random, std::optional<std::size_t> avoid,
+                                      bool) override
     {
         if (m_eligible.members().empty())
             return std::nullopt;
--- a/packages/urgent/routing_policy.h
+++ b/packages/urgent/routing_policy.h
@@ -33,9 +33,9 @@
     virtual void update(std::size_t runner, const runner_view &view) = 0;
 
     /// Returns an eligible runner, other than \p avoid unless no other is eligible; nothing if none
-    /// is eligible.
+    /// is eligible. A policy may heed \p leaveBest: more urgent work will want the best runners.
     virtual std::optional<std::size_t> choose(random_source &random,
-                                              std::optional<std::size_t> avoid)
+                                              std::optional<std::size_t> avoid, bool leaveBest)
         = 0;
 };
 
--- a/packages/urgent/runner_table.cpp
+++ b/packages/urgent/runner_table.cpp
@@ -123,7 +123,8 @@
 
 std::optional<std::size_t> runner_table::choose(std::size_t service, instant now,
                                                 random_source &random,
-                                                std::optional<std::size_t> avoid, probe_use probe)
+                                                std::optional<std::size_t> avoid, probe_use probe,
+                                                bool leaveBest)
 {
     service_state &s = m_services[service];
     if (probe != probe_use::none) {
@@ -133,7 +134,7 @@
                 return number;
         }
     }
-    return s.policy->choose(random, avoid);
+    return s.policy->choose(random, avoid, leaveBest);
 }
 
 void runner_table::take(std::size_t runner)
--- a/packages/urgent/runner_table.h
+++ b/packages/urgent/runner_table.h
@@ -47,9 +47,11 @@
     void applyShare(instant now, const capacity_share &share);
 
     /// Chooses a runner with a free slot. If \p probe says so, a runner that is due for a probe
-    /// comes first. Returns nothing if no runner may receive the request.
+    /// comes first. Returns nothing if no runner may receive the request. \p leaveBest is for the
+    /// routing policy.
     std::optional<std::size_t> choose(std::size_t service, instant now, random_source &random,
-                                      std::optional<std::size_t> avoid, probe_use probe);
+                                      std::optional<std::size_t> avoid, probe_use probe,
+                                      bool leaveBest);
 
     /// Takes a slot and a connection of a runner. This is the only place where slots are taken; it
     /// ends the process if the runner has none left for this host.
--- a/packages/urgent/urgent_settings.h
+++ b/packages/urgent/urgent_settings.h
@@ -57,6 +57,10 @@
     duration drainDelay = 2s; ///< The balancer's delay.
     duration drainLimit = 30s;
 
+    /// Urgent work starts within this time or is refused, whatever its deadline, so that an
+    /// overload does not let queues grow until everything starts late.
+    duration urgentStartLimit = 1400ms;
+
     int maxAttempts = 2;
     double retryShare = 0.1; ///< Retries for each first attempt of a team.
     double maxRetryCredit = 10; ///< Retries that a quiet team can save up.
--- a/test/correctness/urgent_admission_test.cpp
+++ b/test/correctness/urgent_admission_test.cpp
@@ -94,6 +94,19 @@
     EXPECT_EQ(c.replyTo(queued), notRun(outcome_reason::deadline_passed));
 }
 
+TEST(Admission, RefusesUrgentWorkThatCannotStartWithinItsLimit)
+{
+    single_core c(1, 1);
+    c.submit(false, "lab", urgency::urgent, 5s);
+    const caller_token queued = c.submit(true, "lab", urgency::urgent, 5s);
+    const caller_token normal = c.submit(true, "lab", urgency::normal, 5s);
+    c.wait(1399ms);
+    EXPECT_EQ(c.replyTo(queued), std::nullopt);
+    c.wait(2ms);
+    EXPECT_EQ(c.replyTo(queued), notRun(outcome_reason::start_too_late));
+    EXPECT_EQ(c.replyTo(normal), std::nullopt);
+}
+
 TEST(Admission, MakesRoomForUrgentRequestsOfTheSameTeam)
 {
     single_core c(1, 1, smallQueues());
