--- a/packages/urgent/attempt_flow.cpp
+++ b/packages/urgent/attempt_flow.cpp
@@ -45,7 +45,8 @@
 
 void request_core::state::pump(std::size_t service)
 {
-    while (share.mayDispatch(now)) {
+    // A request for a service that only other hosts know has no number of a service here.
+    while (share.mayDispatch(now) && service < runners.serviceCount()) {
         service_capacity capacity = capacityOf(service);
         if (runners.isProbeDue(service))
             capacity.freeSlots = std::max(capacity.freeSlots, 1);
