--- a/test/correctness/urgent_core_test.cpp
+++ b/test/correctness/urgent_core_test.cpp
@@ -33,6 +33,18 @@
     EXPECT_TRUE(c.every<dispatch_to_runner>().empty());
 }
 
+TEST(RequestCore, ReportsUnknownForAnIdentifierOfAFormerIncarnation)
+{
+    // The former process may have run it; the sequence is issued again, but not yet used.
+    single_core c;
+    c.send(identifier_asked{++c.lastCaller});
+    request_id id = c.last<reply_identifier>()->id;
+    --id.epoch;
+    const caller_token caller = c.submit(false, "lab", urgency::urgent, 2s, id);
+    EXPECT_EQ(c.replyTo(caller)->kind, outcome_kind::unknown);
+    EXPECT_TRUE(c.every<dispatch_to_runner>().empty());
+}
+
 TEST(RequestCore, TakesALateAnswerAfterUnknown)
 {
     single_core c;
@@ -70,6 +82,8 @@
     EXPECT_EQ(c.last<cancel_attempt>()->attempt, first.attempt);
     c.result(first, kind::answered);
     EXPECT_EQ(c.replyTo(caller), std::nullopt);
+    c.send(outcome_asked{99, first.id});
+    EXPECT_EQ(c.replyTo(99)->kind, outcome_kind::pending);
     c.result(second, kind::answered);
     EXPECT_EQ(c.replyTo(caller)->kind, outcome_kind::answered);
 }
