--- a/test/performance/urgent_experiment_benchmark.cpp
+++ b/test/performance/urgent_experiment_benchmark.cpp
@@ -232,9 +232,10 @@
             }
         }
         fmt::print(
-            "flood of one team's urgent work, others {}: the worst other team keeps {:.1f}% of "
-            "its guarantee (mean {:.1f}%; its goodput {:.1f}%, start p99 {:.1f} ms)\n",
-            toString(others), 100 * worst, 100 * sum / 24, 100 * worstFigures.goodput,
+            "flood of one team's urgent work, others offer {} of their guarantee as {} work: the "
+            "worst other team keeps {:.1f}% of its guarantee (mean {:.1f}%; its goodput {:.1f}%, "
+            "start p99 {:.1f} ms)\n",
+            offered, toString(others), 100 * worst, 100 * sum / 24, 100 * worstFigures.goodput,
             worstFigures.startP99);
     }
 }
