--- a/test/correctness/urgent_core_test.cpp
+++ b/test/correctness/urgent_core_test.cpp
@@ -193,17 +193,31 @@
 
 TEST(RequestCore, EndsADrainWithinItsLimit)
 {
+    // The only slot is held for 5.25 s by each attempt, since the runner never answers.
     single_core c(1, 1);
     c.submit(false);
-    const caller_token queued = c.submit(true, "lab", urgency::normal, 60s);
+    std::vector<caller_token> queued;
+    for (int i = 0; i < 10; ++i)
+        queued.push_back(c.submit(true, "lab", urgency::normal, 60s));
     c.send(urgent_drain{});
-    for (int i = 0; i < 3; ++i) { // Keeps the only slot busy until the limit.
-        c.wait(5200ms);
-        c.submit(true, "yard", urgency::normal, 60s);
-    }
-    c.wait(15s);
-    EXPECT_TRUE(c.replyTo(queued));
+    c.wait(20s);
+    EXPECT_TRUE(c.every<urgent_drained>().empty());
+    EXPECT_EQ(c.replyTo(queued.back()), std::nullopt);
+    c.wait(10s);
     EXPECT_EQ(c.every<urgent_drained>().size(), 1U);
+    EXPECT_EQ(c.replyTo(queued.back()), notRun(outcome_reason::draining));
+    EXPECT_EQ(c.core.counts().slotsTaken, 0U);
+}
+
+TEST(RequestCore, UsesOnlyTheSlotsOfItsSeat)
+{
+    single_core c(2, 3);
+    c.send(urgent_seat_granted{1, 2, instant::max(), true});
+    const int part
+        = seatPart(3, runner_id{"runner-0"}, 1, 2) + seatPart(3, runner_id{"runner-1"}, 1, 2);
+    for (int i = 0; i < 10; ++i)
+        c.submit(i % 2 == 0);
+    EXPECT_EQ(c.every<dispatch_to_runner>().size(), std::size_t(part));
 }
 
 TEST(RequestCore, StopsUsingALeavingRunnerAtOnce)
--- a/test/failure/urgent_runner_test.cpp
+++ b/test/failure/urgent_runner_test.cpp
@@ -101,6 +101,29 @@
     EXPECT_EQ(c.last<dispatch_to_runner>()->runner.value, "runner-1");
 }
 
+TEST(RunnerHealth, SendsNothingMoreToARunnerThatRefusedAConnection)
+{
+    single_core c(2, 8);
+    c.submit();
+    const auto first = *c.last<dispatch_to_runner>();
+    c.result(first, kind::not_connected);
+    EXPECT_EQ(c.core.counts().ejectedRunners, 1U);
+    for (int i = 0; i < 8; ++i)
+        c.submit();
+    for (const auto &d : c.every<dispatch_to_runner>())
+        EXPECT_TRUE(d.attempt == first.attempt || d.runner != first.runner);
+}
+
+TEST(Retries, EndAfterTheSecondAttempt)
+{
+    single_core c(4, 8);
+    const caller_token caller = c.submit(false);
+    for (int i = 0; i < 2; ++i)
+        c.result(*c.last<dispatch_to_runner>(), kind::not_connected);
+    EXPECT_EQ(c.replyTo(caller), notRun(outcome_reason::refused_by_runner));
+    EXPECT_EQ(c.every<dispatch_to_runner>().size(), 2U);
+}
+
 TEST(Retries, StayWithinTheBudgetWhenEverythingFails)
 {
     single_core c(4, 8);
