--- a/test/failure/urgent_fleet_test.cpp
+++ b/test/failure/urgent_fleet_test.cpp
@@ -69,3 +69,14 @@
     EXPECT_EQ(f.run(), std::vector<std::string>());
     EXPECT_GT(f.answered(), 100);
 }
+
+TEST(UrgentFleet, RepeatsARunExactly)
+{
+    fleet_settings s = makeSettings(5, {36'000, 1'200'009, 5'400'033, 9'000'101});
+    s.requests = 300;
+    fleet first(s);
+    fleet second(s);
+    EXPECT_EQ(first.run(), second.run());
+    EXPECT_EQ(first.executions(), second.executions());
+    EXPECT_EQ(first.answered(), second.answered());
+}
