Add the shard state machine: ownership, claims, worker leases, placement, callers

The core handles submissions, group commits, syncs and takeovers. The tests run it against in-memory fakes of the store and of workers in virtual time.

--- a/packages/batch/commit_pipeline.h
+++ b/packages/batch/commit_pipeline.h
@@ -41,6 +41,9 @@
     /// \p isUrgent if a latency-critical task waits for the change.
     std::int64_t touch(int segment, bool isUrgent);
 
+    /// Shortens the wait for the next commit, since a latency-critical task waits.
+    void hurry() { m_isUrgent = true; }
+
     /// Returns true if a change with \p sequence in \p segment is in the store.
     bool isDurable(int segment, std::int64_t sequence) const;
 
--- a/packages/batch/job_queue.cpp
+++ b/packages/batch/job_queue.cpp
@@ -25,6 +25,14 @@
         m_weights[q.team] = std::max<std::int64_t>(q.weight, 1);
 }
 
+void job_queue::clear()
+{
+    m_used.clear();
+    m_tasks.clear();
+    m_latencyCritical.clear();
+    m_others.clear();
+}
+
 job_queue::order job_queue::orderOf(const queued_task &task)
 {
     return {task.waitingSince - int(task.urgency) * urgencyStep, task.number, task.task};
@@ -102,6 +110,18 @@
     return sum == 0 ? 1 : 1 / double(sum);
 }
 
+const queued_task *job_queue::oldest(bool isLatencyCritical) const
+{
+    const queued_task *oldest = nullptr;
+    for (const auto &[team, tasks] : isLatencyCritical ? m_latencyCritical : m_others) {
+        // The first of each team, by the order that regards urgency as well.
+        const queued_task &first = m_tasks.at(std::get<2>(*tasks.begin()));
+        if (oldest == nullptr || first.waitingSince < oldest->waitingSince)
+            oldest = &first;
+    }
+    return oldest;
+}
+
 std::optional<std::size_t> job_queue::position(const task_key &task) const
 {
     const auto at = m_tasks.find(task);
--- a/packages/batch/job_queue.h
+++ b/packages/batch/job_queue.h
@@ -38,6 +38,9 @@
     /// Sets the weights of the teams; a team that is not named has weight 1.
     void setQuotas(const std::vector<quota> &quotas);
 
+    /// Forgets all tasks and what the teams use; keeps the quotas.
+    void clear();
+
     /// Adds a task; it must not be in the queue.
     void add(const queued_task &task);
 
@@ -47,6 +50,10 @@
     bool contains(const task_key &task) const { return m_tasks.count(task) != 0; }
     std::size_t size() const { return m_tasks.size(); }
 
+    /// Returns the task that has waited longest, or null; only latency-critical ones count if
+    /// \p isLatencyCritical, and only others if not.
+    const queued_task *oldest(bool isLatencyCritical) const;
+
     /// Returns true if a latency-critical task waits.
     bool hasLatencyCritical() const { return !m_latencyCritical.empty(); }
 
--- a/packages/batch/job_table.h
+++ b/packages/batch/job_table.h
@@ -42,7 +42,8 @@
     instant stopAt; ///< When a removal stops waiting for the checkpoint.
     instant waitingSince;
     instant notBefore; ///< A waiting task is not placed before this time.
-    std::set<worker_id> failedOn; ///< Workers to avoid; cleared when the attempt after succeeds.
+    std::set<worker_id> failedOn; ///< Workers to avoid, since the task failed there.
+    std::set<worker_id> chargedEarly; ///< Workers whose latest failure was charged to the job.
     int throttlePermille = 1000;
     std::optional<task_usage> usage;
 };
--- a/packages/batch/ownership.cpp
+++ b/packages/batch/ownership.cpp
@@ -97,6 +97,7 @@
         return std::nullopt;
     m_isInFlight = true;
     if (m_isReleasing) {
+        m_isReleaseInFlight = true;
         store_transaction release;
         release.compares.push_back(
             {m_keys.owner, store_compare::property::create_revision, m_epoch, std::string()});
@@ -168,7 +169,7 @@
 
 void ownership::release()
 {
-    m_isReleasing = m_epoch != 0 && !m_isReleasing;
+    m_isReleasing = m_isReleasing || m_epoch != 0;
     if (m_epoch == 0 && !m_isInFlight)
         m_phase = phase::released;
 }
@@ -185,9 +186,8 @@
 std::string ownership::handleResult(instant now, const store_result &result)
 {
     m_isInFlight = false;
-    if (m_isReleasing) {
+    if (m_isReleaseInFlight) {
         // A lost answer is not repeated: the key lapses with the lease.
-        m_isProofInFlight = false;
         m_phase = phase::released;
         return "released the shard";
     }
--- a/packages/batch/ownership.h
+++ b/packages/batch/ownership.h
@@ -113,6 +113,7 @@
     bool m_isInFlight = false;
     bool m_isProofInFlight = false;
     bool m_isReleasing = false;
+    bool m_isReleaseInFlight = false;
     std::optional<instant> m_missingSince; ///< When the owner key was first seen missing.
     std::optional<host_id> m_otherOwner;
 
--- a/packages/batch/placement.cpp
+++ b/packages/batch/placement.cpp
@@ -94,7 +94,8 @@
 
 std::optional<std::pair<worker_id, std::vector<task_key>>>
 chooseVictims(const commitment_book &book, const resources &size,
-              const std::function<std::optional<std::int64_t>(const task_key &)> &cost)
+              const std::function<std::optional<std::int64_t>(const task_key &)> &cost,
+              const std::function<std::int64_t(const worker_slot &)> &slotCost)
 {
     std::optional<std::pair<worker_id, std::vector<task_key>>> best;
     std::int64_t bestCost = 0;
@@ -110,7 +111,7 @@
         std::sort(candidates.begin(), candidates.end());
         resources free = slot.free();
         std::vector<task_key> victims;
-        std::int64_t total = 0;
+        std::int64_t total = slotCost(slot);
         for (const auto &[c, task] : candidates) {
             if (fitsInto(size, free))
                 break;
@@ -130,7 +131,6 @@
             free = without;
             at = victims.erase(at);
         }
-        total += std::int64_t(victims.size());
         if (!best || total < bestCost) {
             bestCost = total;
             best.emplace(worker, std::move(victims));
--- a/packages/batch/placement.h
+++ b/packages/batch/placement.h
@@ -38,7 +38,8 @@
 /// least cost. \p cost returns nothing for a task that must stay.
 std::optional<std::pair<worker_id, std::vector<task_key>>>
 chooseVictims(const commitment_book &book, const resources &size,
-              const std::function<std::optional<std::int64_t>(const task_key &)> &cost);
+              const std::function<std::optional<std::int64_t>(const task_key &)> &cost,
+              const std::function<std::int64_t(const worker_slot &)> &slotCost);
 
 /// The worker that comes nearest to holding a task that no worker can hold.
 struct nearest_worker
--- a/packages/batch/shard_core.cpp
+++ b/packages/batch/shard_core.cpp
@@ -1,18 +1,271 @@
 #include "shard_core.h"
 
+#include "caller_desk.h"
+#include "placer.h"
+#include "shard_state.h"
+#include "worker_reports.h"
+#include "worker_syncs.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
 namespace crocuswind {
 
+namespace {
+
+/// A wake-up that comes later than this after its time means that the process was paused.
+constexpr duration maxLateness = 1s;
+/// The core asks to be woken at least this often, so that pauses are noticed.
+constexpr duration maxSleep = 1s;
+constexpr duration minSleep = 10ms;
+/// Draining gives up waiting for the store after this time.
+constexpr duration drainLimit = 5s;
+
+} // namespace
+
 /// The state of one shard on one host.
 class shard_core::implementation
 {
 public:
-    explicit implementation(shard_settings given)
-        : settings(std::move(given))
+    explicit implementation(shard_settings settings)
+        : m_state(settings)
     { }
 
-    shard_settings settings;
+    std::vector<shard_action> handle(const shard_event &event);
+    shard_status status() const;
+
+private:
+    void on(const shard_session &session) { m_state.owner.setSession(session); }
+    void on(const shard_hosts &hosts) { m_state.owner.setHosts(hosts.hosts); }
+    void on(const shard_store_result &result);
+    void on(const shard_submit &request) { m_callers.submit(m_state, m_placer, request); }
+    void on(const shard_cancel &request) { m_callers.cancel(m_state, m_placer, request); }
+    void on(const shard_query &request) { m_callers.query(m_state, m_placer, request); }
+    void on(const shard_list &request) { m_callers.list(m_state, m_placer, request); }
+    void on(const shard_workers &workers) { m_state.setWorkers(workers.workers); }
+    void on(const shard_sync_result &result);
+    void on(const shard_quotas &quotas) { m_state.queue.setQuotas(quotas.quotas); }
+    void on(const shard_tick & /*tick*/) { }
+    void on(const shard_drain & /*drain*/);
+
+    void handleCommitResult(const store_result &result);
+    void step();
+    void stepDrain();
+    void callStore();
+    void loseShard();
+    bool isCommitWanted() const;
+    instant nextWake() const;
+
+    shard_state m_state;
+    placer m_placer;
+    caller_desk m_callers;
+    std::optional<instant> m_wakeAt;
+    std::uint64_t m_nextToken = 1;
+    std::optional<std::uint64_t> m_storeToken; ///< Of the call in flight.
+    bool m_isCommitCall = false;
+    bool m_wasOwner = false;
+    std::int64_t m_storeCalls = 0;
+    std::int64_t m_commits = 0;
+    instant m_drainBegan;
+    bool m_isDrained = false;
 };
 
+std::vector<shard_action> shard_core::implementation::handle(const shard_event &event)
+{
+    CROCUSWIND_INVARIANT(event.now >= m_state.now, "times must not decrease");
+    m_state.now = event.now;
+    m_state.actions.clear();
+    if (m_wakeAt && event.now > *m_wakeAt + maxLateness)
+        m_state.owner.notePause();
+    std::visit([this](const auto &what) { on(what); }, event.what);
+    step();
+    if (!m_isDrained) {
+        m_wakeAt = nextWake();
+        m_state.actions.push_back(shard_wake_at{*m_wakeAt});
+    }
+    std::vector<shard_action> actions;
+    actions.swap(m_state.actions);
+    return actions;
+}
+
+void shard_core::implementation::on(const shard_store_result &result)
+{
+    if (result.token != m_storeToken)
+        return;
+    m_storeToken.reset();
+    if (m_isCommitCall) {
+        if (m_state.owner.isOwner())
+            handleCommitResult(result.result);
+        return;
+    }
+    const std::string line = m_state.owner.handleResult(m_state.now, result.result);
+    if (!line.empty())
+        m_state.log(line);
+    if (auto loaded = m_state.owner.takeLoaded()) {
+        m_state.load(std::move(*loaded));
+        m_placer.clear();
+    }
+}
+
+void shard_core::implementation::handleCommitResult(const store_result &result)
+{
+    const bool wasDown = m_state.pipeline.isStoreDown();
+    const commit_outcome outcome = m_state.pipeline.handleResult(m_state.now, result);
+    if (m_state.pipeline.isStoreDown() != wasDown)
+        m_state.log(wasDown ? "the store answers again" : "the store does not answer");
+    switch (outcome) {
+    case commit_outcome::landed:
+        ++m_commits;
+        m_callers.settleDurable(m_state, m_placer);
+        requestSyncsAfterCommit(m_state);
+        break;
+    case commit_outcome::missed:
+        m_callers.refuseUnsent(m_state);
+        break;
+    case commit_outcome::lost:
+        m_state.log("lost the shard: a commit was refused");
+        m_state.owner.lose(m_state.now);
+        break;
+    case commit_outcome::nothing:
+        break;
+    }
+}
+
+void shard_core::implementation::on(const shard_sync_result &result)
+{
+    const auto at = m_state.sessions.find(result.worker);
+    if (at == m_state.sessions.end() || !m_state.owner.isOwner()
+        || result.epoch != m_state.owner.epoch())
+        return;
+    worker_session &session = at->second;
+    if (result.sequence == session.sequence)
+        session.isInFlight = false;
+    if (result.result) {
+        // The report of a worker at another's address must not count as this worker's.
+        if (result.result->worker == result.worker)
+            applyReport(m_state, *result.result);
+        return;
+    }
+    const bool isStale = result.result.error().why == sync_error::reason::stale_epoch
+        && result.result.error().epoch > m_state.owner.epoch();
+    if (isStale)
+        m_state.owner.notePause();
+    handleSyncError(m_state, session, result.result.error());
+}
+
+void shard_core::implementation::on(const shard_drain & /*drain*/)
+{
+    if (m_state.isDraining)
+        return;
+    m_state.isDraining = true;
+    m_drainBegan = m_state.now;
+}
+
+bool shard_core::implementation::isCommitWanted() const
+{
+    return m_state.owner.mayClaim(m_state.now) && !m_state.pipeline.isStoreDown()
+        && m_placer.isWanted(m_state);
+}
+
+void shard_core::implementation::callStore()
+{
+    if (m_storeToken)
+        return;
+    std::optional<store_operation> call = m_state.owner.nextCall(m_state.now);
+    m_isCommitCall = false;
+    if (!call && m_state.owner.isOwner()) {
+        if (isCommitWanted() && m_state.pipeline.mayCall(m_state.now))
+            m_placer.place(m_state);
+        call = m_state.pipeline.nextCall(
+            m_state.now, [this](int segment) { return m_state.jobs.encodeSegment(segment); });
+        m_isCommitCall = call.has_value();
+    }
+    if (!call)
+        return;
+    m_storeToken = m_nextToken++;
+    ++m_storeCalls;
+    m_state.actions.push_back(
+        shard_store_call{*m_storeToken, std::move(*call), m_state.now + storeCallLimit});
+}
+
+void shard_core::implementation::loseShard()
+{
+    m_callers.settleLost(m_state);
+    m_state.clear();
+    m_placer.clear();
+}
+
+void shard_core::implementation::stepDrain()
+{
+    if (!m_state.isDraining || m_isDrained)
+        return;
+    const bool isSettled = !m_state.owner.isOwner()
+        || (!m_state.pipeline.isDirty() && !m_state.pipeline.isUnsettled())
+        || m_state.now >= m_drainBegan + drainLimit;
+    if (!isSettled || (m_storeToken && m_isCommitCall))
+        return;
+    m_state.owner.release();
+    if (!m_state.owner.isReleased() || m_storeToken)
+        return;
+    m_isDrained = true;
+    m_state.actions.push_back(shard_drained{});
+}
+
+void shard_core::implementation::step()
+{
+    stepDrain();
+    if (m_state.owner.isOwner()) {
+        m_state.releaseDelayed();
+        m_state.expireSilentWorkers();
+        if (m_state.queue.hasLatencyCritical() && m_placer.isWanted(m_state))
+            m_state.pipeline.hurry();
+        m_callers.settleOverdue(m_state);
+        sendSyncs(m_state);
+    } else if (m_wasOwner) {
+        loseShard();
+    }
+    m_wasOwner = m_state.owner.isOwner();
+    callStore();
+    stepDrain();
+}
+
+instant shard_core::implementation::nextWake() const
+{
+    instant due = m_state.now + maxSleep;
+    if (!m_storeToken) {
+        due = std::min(due, m_state.owner.due(m_state.now));
+        if (m_state.owner.isOwner())
+            due = std::min(due, m_state.pipeline.due(isCommitWanted()));
+    }
+    if (m_state.owner.isOwner()) {
+        due = std::min({due, nextSyncDue(m_state), m_callers.due()});
+        if (!m_state.delayed.empty())
+            due = std::min(due, m_state.delayed.begin()->first);
+    }
+    return std::max(due, m_state.now + minSleep);
+}
+
+shard_status shard_core::implementation::status() const
+{
+    shard_status status;
+    status.isOwner = m_state.owner.isOwner();
+    status.epoch = status.isOwner ? m_state.owner.epoch() : 0;
+    status.jobs = m_state.jobs.jobs().size();
+    for (const auto &[id, job] : m_state.jobs.jobs()) {
+        for (const task_record &task : job.record.tasks) {
+            status.waitingTasks += task.state == task_state::waiting ? 1 : 0;
+            status.claimedTasks += task.state == task_state::claimed ? 1 : 0;
+        }
+    }
+    for (const auto &[worker, session] : m_state.sessions) {
+        status.workers += session.isListed ? 1 : 0;
+        status.workersAside += session.health.isAside() ? 1 : 0;
+    }
+    status.commits = m_commits;
+    status.storeCalls = m_storeCalls;
+    return status;
+}
+
 int shardOfJob(const job_id &job, int shardCount)
 {
     return int(stableHash(toString(job)) % std::uint64_t(shardCount));
@@ -29,14 +282,14 @@
 
 shard_core::~shard_core() = default;
 
-std::vector<shard_action> shard_core::handle(const shard_event & /*event*/)
+std::vector<shard_action> shard_core::handle(const shard_event &event)
 {
-    return {};
+    return m_implementation->handle(event);
 }
 
 shard_status shard_core::status() const
 {
-    return {};
+    return m_implementation->status();
 }
 
 } // namespace crocuswind
--- a/packages/batch/worker_health.cpp
+++ b/packages/batch/worker_health.cpp
@@ -15,9 +15,10 @@
 constexpr std::size_t suspectStarts = 5;
 constexpr duration firstProbeInterval = 30s;
 constexpr duration maxProbeInterval = 600s;
-/// Starts in progress on a worker that has started something well, and on one that has not. Fewer
-/// than `suspectStarts`, so that a worker that fails from the beginning is found within 5 starts.
-constexpr std::size_t provenStarts = 8;
+/// Starts in progress on a worker that has started something well, and on one that has not: fewer
+/// than `suspectStarts`, so that a worker that fails from the beginning is found within 5 starts. A
+/// proven worker must take a burst of latency-critical tasks at once.
+constexpr std::size_t provenStarts = 32;
 constexpr std::size_t unprovenStarts = 4;
 
 } // namespace
--- a/packages/batch/worker_sync.h
+++ b/packages/batch/worker_sync.h
@@ -13,6 +13,8 @@
 /// - It refuses an attempt that is not higher than the highest it has seen of the replica. A stop
 ///   counts as having seen the attempt, and a stop of an unknown attempt is reported as stopped.
 /// - It reports an ended attempt until told to forget it.
+/// - A sync with a lease of 0 renews and starts nothing, and ends nothing.
+/// - The throttles of a sync replace those of earlier ones: a task that is not named has none.
 #ifndef CROCUSWIND_BATCH_WORKER_SYNC_H
 #define CROCUSWIND_BATCH_WORKER_SYNC_H
 
@@ -41,6 +43,7 @@
         return std::tie(a.worker, a.rack, a.capacity, a.isLeaving)
             == std::tie(b.worker, b.rack, b.capacity, b.isLeaving);
     }
+    friend bool operator!=(const worker_info &a, const worker_info &b) { return !(a == b); }
 };
 
 /// Starts one attempt, from a checkpoint if its number is not 0.
@@ -78,7 +81,8 @@
     std::int64_t epoch = 0;
     std::int64_t sequence = 0; ///< Increases with each sync of this epoch to this worker.
     std::int64_t basis = 0; ///< Sequence of the last sync whose answer the owner has, 0 if none.
-    std::int64_t leaseMs = 0; ///< The lease of all tasks runs this long from the worker's receipt.
+    std::int64_t leaseMs
+        = 0; ///< The lease of all tasks runs this long from receipt; 0: no renewal.
     std::vector<start_command> start;
     std::vector<task_id> stop;
     std::vector<task_id> checkpoint;
--- /dev/null
+++ b/test/correctness/batch_fake_worker.h
@@ -0,0 +1,251 @@
+/// A stand-in for a worker that follows the rules of `worker_sync.h`, and a ledger that sees all
+/// workers and records every violation of I1, I2 and I3.
+#ifndef CROCUSWIND_TEST_BATCH_FAKE_WORKER_H
+#define CROCUSWIND_TEST_BATCH_FAKE_WORKER_H
+
+#include "batch/batch.h"
+
+#include <fmt/format.h>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace crocuswind {
+
+/// What is true of a job, whoever believes what.
+struct job_truth
+{
+    job_spec spec;
+    duration length{}; ///< Real run time of a finite job.
+    bool alwaysFails = false;
+    int completions = 0;
+    std::set<task_id> startedAttempts;
+    std::map<int, std::int64_t> lastFrom; ///< By replica: the highest checkpoint resumed from.
+};
+
+/// One running or ended attempt on a fake worker.
+struct fake_task
+{
+    resources size;
+    reported_state state = reported_state::running;
+    instant startedAt;
+    instant leaseUntil;
+    duration before{}; ///< Progress at the start, from the checkpoint.
+    duration ended{}; ///< Progress when it ended.
+    checkpoint saved;
+    std::string result;
+};
+
+class fake_worker;
+
+/// Sees everything; a violation is recorded with its time.
+struct fleet_ledger
+{
+    std::map<job_id, job_truth> truths;
+    std::vector<fake_worker *> workers;
+    std::vector<std::string> violations;
+
+    void violate(instant now, const std::string &what)
+    {
+        violations.push_back(fmt::format("{} ms: {}", now.time_since_epoch().count() / 1000, what));
+    }
+};
+
+class fake_worker
+{
+public:
+    worker_info info;
+    worker_incarnation life = 1;
+    bool isAlive = true;
+    bool failsEverything = false;
+    instant pausedUntil;
+    double clockRate = 1.0; ///< Above 1: its clock is slow, so its leases last longer.
+    std::int64_t starts = 0;
+    std::map<task_id, fake_task> tasks;
+    /// Reports the slowdown of a task, if a test models interference.
+    std::function<std::optional<task_usage>(const task_id &)> usageOf;
+
+    explicit fake_worker(fleet_ledger &ledger)
+        : m_ledger(ledger)
+    {
+        ledger.workers.push_back(this);
+    }
+
+    void restart()
+    {
+        tasks.clear();
+        m_seen.clear();
+        m_answered.clear();
+        m_epoch = 0;
+        m_applied = 0;
+        ++life;
+        isAlive = true;
+    }
+
+    bool isRunning(const task_id &id, instant now) const
+    {
+        const auto at = tasks.find(id);
+        return isAlive && at != tasks.end() && at->second.state == reported_state::running
+            && at->second.leaseUntil > now && !isOver(at->first, at->second, now);
+    }
+
+    tl::expected<sync_report, sync_error> sync(const sync_request &request, instant now)
+    {
+        advance(now);
+        if (request.epoch < m_epoch)
+            return tl::unexpected(sync_error{sync_error::reason::stale_epoch, m_epoch});
+        if (request.epoch > m_epoch) {
+            m_epoch = request.epoch;
+            m_applied = 0;
+            m_answered.clear();
+        }
+        if (request.sequence > m_applied) {
+            m_applied = request.sequence;
+            apply(request, now);
+        }
+        m_answered[request.sequence] = now;
+        sync_report report{info.worker, life, request.epoch, request.sequence, {}};
+        for (const auto &[id, task] : tasks) {
+            report.tasks.push_back(
+                {id, task.state, task.saved, usageOf ? usageOf(id) : std::nullopt, task.result});
+        }
+        return report;
+    }
+
+    /// Ends what has run out of lease or is complete, and saves checkpoints.
+    void advance(instant now)
+    {
+        for (auto &[id, task] : tasks) {
+            if (task.state != reported_state::running)
+                continue;
+            const job_truth &truth = m_ledger.truths.at(id.job);
+            const instant until = std::min(now, task.leaseUntil);
+            const duration progress = task.before + (until - task.startedAt);
+            // Every 5 s of progress the task saves its state.
+            task.saved.number = std::max<std::int64_t>(task.saved.number, progress / 5s);
+            task.saved.reference = std::to_string(task.saved.number);
+            if (failsEverything || truth.alwaysFails) {
+                if (until > task.startedAt + 200ms)
+                    end(task, reported_state::failed, progress, "failed");
+            } else if (truth.spec.kind == job_kind::finite && progress >= truth.length) {
+                end(task, reported_state::done, truth.length, "ok");
+                complete(id, now);
+            } else if (now >= task.leaseUntil) {
+                end(task, reported_state::stopped, progress, "lease expired");
+            }
+        }
+    }
+
+private:
+    bool isOver(const task_id &id, const fake_task &task, instant now) const
+    {
+        const job_truth &truth = m_ledger.truths.at(id.job);
+        return truth.spec.kind == job_kind::finite
+            && task.before + (now - task.startedAt) >= truth.length;
+    }
+
+    static void end(fake_task &task, reported_state state, duration progress, const char *result)
+    {
+        task.state = state;
+        task.ended = progress;
+        task.result = result;
+    }
+
+    void complete(const task_id &id, instant now)
+    {
+        if (++m_ledger.truths.at(id.job).completions > 1)
+            m_ledger.violate(now, "completed twice: " + toString(id));
+    }
+
+    void apply(const sync_request &request, instant now)
+    {
+        const auto basis = m_answered.find(request.basis);
+        const bool isFresh = request.leaseMs > 0 && basis != m_answered.end()
+            && now - basis->second < std::chrono::milliseconds(request.leaseMs);
+        for (const task_id &id : request.stop) {
+            seen(id) = std::max(seen(id), id.attempt);
+            const auto [at, isNew] = tasks.try_emplace(id);
+            if (isNew)
+                end(at->second, reported_state::stopped, {}, "stopped before its start");
+            else if (at->second.state == reported_state::running)
+                end(at->second, reported_state::stopped, at->second.before, "stopped");
+        }
+        for (const task_id &id : request.checkpoint) {
+            const auto at = tasks.find(id);
+            if (at != tasks.end() && at->second.state == reported_state::running)
+                ++at->second.saved.number;
+        }
+        for (const task_id &id : request.forget) {
+            const auto at = tasks.find(id);
+            if (at != tasks.end() && at->second.state != reported_state::running)
+                tasks.erase(at);
+        }
+        if (!isFresh)
+            return;
+        const auto length = duration(std::int64_t(double(request.leaseMs) * 1000 * clockRate));
+        for (auto &[id, task] : tasks) {
+            if (task.state == reported_state::running)
+                task.leaseUntil = std::max(task.leaseUntil, now + length);
+        }
+        for (const start_command &start : request.start) {
+            if (start.task.attempt <= seen(start.task))
+                continue;
+            seen(start.task) = start.task.attempt;
+            begin(start, now, now + length);
+        }
+    }
+
+    int &seen(const task_id &id) { return m_seen[{id.job, id.replica}]; }
+
+    void begin(const start_command &start, instant now, instant leaseUntil)
+    {
+        ++starts;
+        job_truth &truth = m_ledger.truths.at(start.task.job);
+        resources sum = start.size;
+        for (const auto &[id, task] : tasks) {
+            if (task.state == reported_state::running)
+                sum = sum + task.size;
+        }
+        if (!fitsInto(sum, info.capacity))
+            m_ledger.violate(now, "I1: overcommitted " + info.worker.value);
+        if (truth.spec.kind == job_kind::finite) {
+            for (const fake_worker *other : m_ledger.workers) {
+                for (const auto &[id, task] : other->tasks) {
+                    if (id.job == start.task.job && other->isRunning(id, now))
+                        m_ledger.violate(now,
+                                         "I2: two places: " + toString(start.task) + " and "
+                                             + toString(id) + " on " + other->info.worker.value);
+                }
+            }
+            if (truth.completions > 0)
+                m_ledger.violate(now, "I3: started after its completion: " + toString(start.task));
+        }
+        if (!truth.startedAttempts.insert(start.task).second)
+            m_ledger.violate(now, "I3: an attempt started twice: " + toString(start.task));
+        std::int64_t &last = truth.lastFrom[start.task.replica];
+        if (start.from.number < last)
+            m_ledger.violate(now, "I3: resumed from an old checkpoint: " + toString(start.task));
+        last = std::max(last, start.from.number);
+        fake_task task;
+        task.size = start.size;
+        task.startedAt = now;
+        task.leaseUntil = leaseUntil;
+        task.before = start.from.number * 5s;
+        task.saved = start.from;
+        tasks[start.task] = task;
+    }
+
+    fleet_ledger &m_ledger;
+    std::map<std::pair<job_id, int>, int> m_seen;
+    std::int64_t m_epoch = 0;
+    std::int64_t m_applied = 0;
+    std::map<std::int64_t, instant> m_answered;
+};
+
+} // namespace crocuswind
+
+#endif
--- /dev/null
+++ b/test/correctness/batch_world.h
@@ -0,0 +1,323 @@
+/// A small world in virtual time: entry hosts with their cores, one store and a few workers, joined
+/// by a network that delays and loses messages. All randomness comes from one seed.
+#ifndef CROCUSWIND_TEST_BATCH_WORLD_H
+#define CROCUSWIND_TEST_BATCH_WORLD_H
+
+#include "batch_fake_store.h"
+#include "batch_fake_worker.h"
+
+#include <deque>
+#include <memory>
+#include <queue>
+
+namespace crocuswind {
+
+struct world_options
+{
+    int hosts = 2;
+    int workers = 4;
+    int workersInRack = 2;
+    resources capacity{4000, 8000, 1};
+    std::uint64_t seed = 1;
+};
+
+struct fake_host
+{
+    host_id id;
+    incarnation life = 1;
+    std::unique_ptr<shard_core> core;
+    instant pausedUntil;
+    bool isCutFromStore = false;
+    std::set<worker_id> cutFrom;
+    std::int64_t lease = 0;
+    instant validUntil;
+    std::uint64_t tickNumber = 0;
+    std::int64_t lastSequence = 0;
+};
+
+class world
+{
+public:
+    instant now{};
+    fake_store store;
+    fleet_ledger ledger;
+    seeded_random random;
+    std::vector<std::unique_ptr<fake_worker>> workers;
+    std::vector<fake_host> hosts;
+    std::map<caller_token, std::pair<job_id, job_reply>> replies;
+    std::map<job_id, std::vector<job_outcome>> outcomes;
+    double lossRate = 0; ///< Share of sync answers and requests that are lost.
+    double lostAnswerRate = 0; ///< Share of store answers lost after the operation took effect.
+    double lateRate = 0; ///< Share of messages that arrive long after the sender gave up.
+    duration storeDelay = 2ms;
+    std::set<worker_id> unlisted;
+    std::function<void()> onEveryEvent;
+
+    explicit world(const world_options &options)
+        : random(stableHash("world", options.seed))
+    {
+        for (int i = 0; i < options.workers; ++i) {
+            workers.push_back(std::make_unique<fake_worker>(ledger));
+            fake_worker &w = *workers.back();
+            w.info.worker.value = "worker-" + std::to_string(i);
+            w.info.rack.value = "rack-" + std::to_string(i / options.workersInRack);
+            w.info.capacity = options.capacity;
+            w.clockRate = 0.97 + 0.06 * random.fraction();
+        }
+        hosts.resize(std::size_t(options.hosts));
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            hosts[i].id.value = "entry-" + std::to_string(i);
+            startHost(i);
+            at(now + duration(std::int64_t(random.below(1'000'000))), [this, i] { session(i); });
+            at(now + duration(std::int64_t(random.below(200'000))), [this, i] { hostList(i); });
+        }
+    }
+
+    void at(instant when, std::function<void()> what)
+    {
+        m_queue.push({std::max(when, now), m_order++, std::move(what)});
+    }
+
+    void runUntil(instant end)
+    {
+        while (!m_queue.empty() && m_queue.top().when <= end) {
+            const scheduled next = m_queue.top();
+            m_queue.pop();
+            now = next.when;
+            next.what();
+            if (onEveryEvent)
+                onEveryEvent();
+        }
+        now = end;
+    }
+    void runFor(duration length) { runUntil(now + length); }
+
+    void startHost(std::size_t i)
+    {
+        fake_host &host = hosts[i];
+        ++host.life;
+        host.lease = 0;
+        host.pausedUntil = instant();
+        host.core = std::make_unique<shard_core>(
+            shard_settings{host.id, host.life, {data_centre_id{"dakar-1"}, 0}, 1});
+        shard_hosts all;
+        for (const fake_host &h : hosts)
+            all.hosts.push_back(h.id);
+        deliver(i, host.life, all);
+    }
+
+    void stopHost(std::size_t i) { hosts[i].core.reset(); }
+
+    std::optional<std::size_t> owner() const
+    {
+        std::optional<std::size_t> found;
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            // Of several that believe to own it, the highest epoch does.
+            if (hosts[i].core && hosts[i].core->status().isOwner
+                && (!found || hosts[i].core->status().epoch > hosts[*found].core->status().epoch))
+                found = i;
+        }
+        return found;
+    }
+
+    /// Delivers an event, or holds it back while the host is paused.
+    template <class event_type>
+    void deliver(std::size_t i, incarnation life, const event_type &what)
+    {
+        fake_host &host = hosts[i];
+        if (!host.core || host.life != life)
+            return;
+        if (now < host.pausedUntil) {
+            at(host.pausedUntil, [=] { deliver(i, life, what); });
+            return;
+        }
+        for (const shard_action &action : host.core->handle({now, what}))
+            std::visit([&](const auto &a) { carryOut(i, a); }, action);
+    }
+
+    caller_token submit(std::size_t i, const job_spec &spec, duration length,
+                        bool alwaysFails = false)
+    {
+        job_truth &truth = ledger.truths[spec.id];
+        truth.spec = spec;
+        truth.length = length;
+        truth.alwaysFails = alwaysFails;
+        const caller_token caller = ++m_nextCaller;
+        replies[caller].first = spec.id;
+        deliver(i, hosts[i].life, shard_submit{caller, spec, {1, 2, 3}});
+        return caller;
+    }
+
+    caller_token cancel(std::size_t i, const job_id &job)
+    {
+        const caller_token caller = ++m_nextCaller;
+        replies[caller].first = job;
+        deliver(i, hosts[i].life, shard_cancel{caller, job});
+        return caller;
+    }
+
+    /// Asks the owner; returns nothing without one or without the job.
+    std::optional<job_view> view(const job_id &job)
+    {
+        const auto i = owner();
+        if (!i)
+            return std::nullopt;
+        const caller_token caller = ++m_nextCaller;
+        replies[caller].first = job;
+        deliver(*i, hosts[*i].life, shard_query{caller, job});
+        const job_reply &reply = replies[caller].second;
+        if (reply.outcome != job_outcome::found)
+            return std::nullopt;
+        return reply.jobs.front();
+    }
+
+    duration networkDelay() { return duration(500 + std::int64_t(random.below(4000))); }
+    bool happens(double share) { return share > 0 && random.fraction() < share; }
+
+    std::vector<std::string> logs;
+
+private:
+    struct scheduled
+    {
+        instant when;
+        std::uint64_t order = 0;
+        std::function<void()> what;
+        bool operator<(const scheduled &b) const
+        {
+            return std::tie(when, order) > std::tie(b.when, b.order);
+        }
+    };
+
+    void session(std::size_t i)
+    {
+        fake_host &host = hosts[i];
+        at(now + 1500ms, [this, i] { session(i); });
+        if (!host.core || now < host.pausedUntil || host.isCutFromStore || store.isDown)
+            return;
+        const auto renewed = store.apply(store_lease_renewal{host.lease}, now);
+        if (renewed.ttlSeconds == 0)
+            host.lease = store.apply(store_lease_grant{5}, now).lease;
+        host.validUntil = now + 5s;
+        deliver(i, host.life, shard_session{host.lease, host.validUntil});
+    }
+
+    void hostList(std::size_t i)
+    {
+        at(now + 1s, [this, i] { hostList(i); });
+        shard_workers list;
+        for (const auto &w : workers) {
+            if (unlisted.count(w->info.worker) == 0)
+                list.workers.push_back(w->info);
+        }
+        deliver(i, hosts[i].life, list);
+    }
+
+    void carryOut(std::size_t i, const shard_wake_at &wake)
+    {
+        const std::uint64_t number = ++hosts[i].tickNumber;
+        const incarnation life = hosts[i].life;
+        at(wake.when, [=] {
+            if (hosts[i].tickNumber == number)
+                deliver(i, life, shard_tick{});
+        });
+    }
+
+    void carryOut(std::size_t i, const shard_store_call &call)
+    {
+        const incarnation life = hosts[i].life;
+        const auto answer = [=](instant when, const store_result &result) {
+            at(when, [=] { deliver(i, life, shard_store_result{call.token, result}); });
+        };
+        const bool isLate = happens(lateRate);
+        const instant arrival
+            = now + storeDelay + (isLate ? 1s + networkDelay() * 500 : duration::zero());
+        if (hosts[i].isCutFromStore || store.isDown) {
+            answer(call.deadline,
+                   tl::unexpected(happens(0.5) ? store_error::not_sent : store_error::no_answer));
+            return;
+        }
+        const bool isLost = happens(lostAnswerRate);
+        at(arrival, [=] {
+            if (store.isDown)
+                return;
+            const store_reply reply = store.apply(call.operation, now);
+            if (!isLost && now + storeDelay < call.deadline)
+                answer(now + storeDelay, reply);
+        });
+        // Results after the first with the same token are ignored by the core.
+        answer(call.deadline, tl::unexpected(store_error::no_answer));
+    }
+
+    void carryOut(std::size_t i, const shard_sync_worker &sync)
+    {
+        fake_host &host = hosts[i];
+        const incarnation life = host.life;
+        const std::int64_t epoch = sync.request.epoch;
+        const std::int64_t sequence = sync.request.sequence;
+        auto isAnswered = std::make_shared<bool>(false);
+        const auto answer = [=](instant when, const tl::expected<sync_report, sync_error> &result) {
+            at(when, [=] {
+                if (*isAnswered)
+                    return;
+                *isAnswered = true;
+                deliver(i, life, shard_sync_result{sync.worker, epoch, sequence, result});
+            });
+        };
+        answer(sync.deadline, tl::unexpected(sync_error{sync_error::reason::no_answer, 0}));
+        if (host.cutFrom.count(sync.worker) != 0 || happens(lossRate))
+            return;
+        // A late request arrives up to 40 s after it was sent.
+        const duration delay = happens(lateRate) ? networkDelay() * 9000 : networkDelay();
+        at(now + delay, [=] { arrive(sync, answer); });
+    }
+
+    template <class function>
+    void arrive(const shard_sync_worker &sync, const function &answer)
+    {
+        for (const auto &w : workers) {
+            if (w->info.worker != sync.worker || !w->isAlive)
+                continue;
+            if (now < w->pausedUntil) {
+                at(w->pausedUntil, [=] { arrive(sync, answer); });
+                return;
+            }
+            const auto result = w->sync(sync.request, now);
+            if (!happens(lossRate) && now + networkDelay() < sync.deadline)
+                answer(now + 1ms, result);
+        }
+    }
+
+    void carryOut(std::size_t /*i*/, const shard_reply &reply)
+    {
+        auto &[job, stored] = replies[reply.caller];
+        stored = reply.reply;
+        outcomes[job].push_back(reply.reply.outcome);
+    }
+
+    void carryOut(std::size_t i, const shard_log &log)
+    {
+        logs.push_back(fmt::format("{} ms {}: {}", now.time_since_epoch().count() / 1000,
+                                   hosts[i].id.value, log.text));
+    }
+
+    void carryOut(std::size_t /*i*/, const shard_span & /*span*/) { }
+    void carryOut(std::size_t i, const shard_drained & /*drained*/) { stopHost(i); }
+
+    std::priority_queue<scheduled> m_queue;
+    std::uint64_t m_order = 0;
+    caller_token m_nextCaller = 0;
+};
+
+/// Returns a finite job of one core.
+inline job_spec finiteJob(const std::string &name, std::int64_t milliCores = 1000)
+{
+    job_spec spec;
+    spec.id = {team_id{"lab"}, name};
+    spec.size = {milliCores, 1000, 0};
+    spec.payload = "{}";
+    return spec;
+}
+
+} // namespace crocuswind
+
+#endif
