Test the shard against sequences of faults; charge failures only with evidence

The property found two faults, both corrected here. A job that met one broken worker again and again was charged five failures: a failure is now charged only after the job failed on three workers or all that can hold it. A large task could wait forever behind continuous ones: the worker kept for it now has them moved away.

--- a/packages/batch/placer.cpp
+++ b/packages/batch/placer.cpp
@@ -17,6 +17,8 @@
 constexpr duration patienceBeforeGivingBack = 30s;
 /// A task that has waited this long for room has a worker kept for it.
 constexpr duration patienceBeforeReserving = 120s;
+/// If that worker has not become free by itself after this time, continuous tasks are moved off it.
+constexpr duration patienceBeforeMoving = 60s;
 /// Latency-critical tasks for which room is made at once; each evicts at least one task.
 constexpr std::size_t maxRoomAtOnce = 8;
 /// While something waits, the rights to room are reviewed this often.
@@ -185,18 +187,51 @@
     if (oldest == nullptr || state.now - oldest->waitingSince < patienceBeforeReserving)
         return;
     // The worker with the least to wait for; a job that no worker can hold reserves nothing.
-    const worker_slot *best = nullptr;
+    // Continuous tasks can be moved away, finite ones end.
+    using rank = std::pair<bool, std::int64_t>;
+    std::optional<std::pair<rank, worker_id>> best;
     for (const auto &[worker, number] : state.book.workers()) {
         const worker_slot &slot = state.book.slot(number);
         if (!slot.isEligible || !fitsInto(oldest->size, slot.capacity))
             continue;
-        if (best == nullptr || slot.free().milliCores > best->free().milliCores)
-            best = &slot;
+        resources movable = slot.free();
+        for (const auto &[key, size] : slot.tasks) {
+            if (state.jobs.find(key.job)->record.spec.kind == job_kind::continuous)
+                movable = movable + size;
+        }
+        const rank r{fitsInto(oldest->size, movable), slot.free().milliCores};
+        if (!best || r > best->first)
+            best.emplace(r, worker);
     }
-    if (best == nullptr)
+    if (!best)
         return;
     m_reservedFor = oldest->task;
-    m_reservedWorker = best->worker;
+    m_reservedWorker = best->second;
+    m_reservedAt = state.now;
+}
+
+void placer::clearReserved(shard_state &state)
+{
+    if (!m_reservedWorker || state.now - m_reservedAt < patienceBeforeMoving
+        || !state.queue.contains(*m_reservedFor) || hasRemovalsUnderWay(state))
+        return;
+    const auto cost = [&](const task_key &key) -> std::optional<std::int64_t> {
+        const job_entry &job = *state.jobs.find(key.job);
+        if (job.record.spec.kind != job_kind::continuous
+            || state.book.workerOf(key) != m_reservedWorker)
+            return std::nullopt;
+        return removalCost(state, key);
+    };
+    const resources size = state.jobs.find(m_reservedFor->job)->record.spec.size;
+    const auto victims
+        = chooseVictims(state.book, size, cost, [](const worker_slot &) { return 0; });
+    if (!victims)
+        return;
+    for (const task_key &key : victims->second) {
+        state.remove(*state.jobs.find(key.job), key.replica, true,
+                     "room for " + toString(m_reservedFor->job));
+        m_removedForRoom.insert(key);
+    }
 }
 
 void placer::place(shard_state &state)
@@ -214,6 +249,7 @@
                                           });
     m_isUnfinished = placed.size() >= maxPlacedInPass || offers >= maxOffersInPass;
     makeRoom(state);
+    clearReserved(state);
 }
 
 } // namespace crocuswind
--- a/packages/batch/placer.h
+++ b/packages/batch/placer.h
@@ -34,6 +34,7 @@
     void makeRoomFor(shard_state &state, const queued_task &task,
                      std::map<std::pair<job_id, rack_id>, int> &planned);
     void reserve(shard_state &state);
+    void clearReserved(shard_state &state);
     bool hasRemovalsUnderWay(const shard_state &state) const;
 
     std::uint64_t m_roomRevision = 0;
@@ -44,6 +45,7 @@
     std::set<task_key> m_removedForRoom;
     std::optional<task_key> m_reservedFor;
     std::optional<worker_id> m_reservedWorker;
+    instant m_reservedAt;
 };
 
 } // namespace crocuswind
--- a/packages/batch/worker_health.cpp
+++ b/packages/batch/worker_health.cpp
@@ -11,7 +11,8 @@
 constexpr std::size_t suspectJobs = 3;
 /// Two jobs suffice after this time, which leaves 2 s of the 10 s allowed for the reports.
 constexpr duration suspectTime = 8s;
-/// The number of starts after which a failing worker must be aside.
+/// After this many failures in a row the worker is put aside even if they are all of one job. If
+/// the job was at fault, the first probe with another one brings the worker back.
 constexpr std::size_t suspectStarts = 5;
 constexpr duration firstProbeInterval = 30s;
 constexpr duration maxProbeInterval = 600s;
@@ -53,8 +54,7 @@
     const std::size_t jobs = distinctJobs();
     if (m_isAside)
         return !m_failures.empty();
-    return jobs >= suspectJobs || (jobs >= 2 && m_failures.size() >= suspectStarts)
-        || now >= failingAt();
+    return jobs >= suspectJobs || m_failures.size() >= suspectStarts || now >= failingAt();
 }
 
 instant worker_health::failingAt() const
@@ -62,9 +62,9 @@
     return distinctJobs() >= 2 ? m_streakBegan + suspectTime : instant::max();
 }
 
-bool worker_health::isFaultOfOneJob(std::size_t count) const
+std::size_t worker_health::failuresOf(const task_key &task) const
 {
-    return m_failures.size() >= count && distinctJobs() == 1;
+    return std::size_t(std::count(m_failures.begin(), m_failures.end(), task));
 }
 
 void worker_health::putAside(instant now)
--- a/packages/batch/worker_health.h
+++ b/packages/batch/worker_health.h
@@ -35,8 +35,8 @@
     /// Returns when `isFailing` becomes true without a further event, or `instant::max()`.
     instant failingAt() const;
 
-    /// Returns true if only tasks of one job have failed, and at least \p count times.
-    bool isFaultOfOneJob(std::size_t count) const;
+    /// Returns how often the task failed in the streak.
+    std::size_t failuresOf(const task_key &task) const;
 
     /// Puts the worker aside; the failures of the streak are dropped. The interval to the next
     /// probe doubles each time that a probe fails.
--- a/packages/batch/worker_reports.cpp
+++ b/packages/batch/worker_reports.cpp
@@ -11,7 +11,7 @@
 /// A failed task is started again after this time, four times longer with each charged failure.
 constexpr duration firstRetryDelay = 1s;
 constexpr int maxRetryDoublings = 8;
-/// A job that failed on this many workers is at fault itself.
+/// A job that failed on this many workers, or on all that can hold it, is at fault itself.
 constexpr std::size_t faultyJobWorkers = 3;
 /// Reports without a task that was started there, before the start counts as refused.
 constexpr int maxMissingReports = 5;
@@ -23,6 +23,15 @@
     return firstRetryDelay * (1 << std::min(2 * failures, maxRetryDoublings));
 }
 
+std::size_t capableWorkers(const shard_state &state, const resources &size)
+{
+    return std::size_t(
+        std::count_if(state.sessions.begin(), state.sessions.end(), [&](const auto &entry) {
+            const worker_session &session = entry.second;
+            return session.isListed && session.isContacted && fitsInto(size, session.info.capacity);
+        }));
+}
+
 void noteSuccess(shard_state &state, worker_session &session, instant startedAt)
 {
     const bool wasAside = session.health.isAside();
@@ -48,12 +57,13 @@
     runtime.failedOn.insert(worker);
     task.result = reason;
     session.health.noteFailure(state.now, key);
-    const bool isJobsFault = runtime.failedOn.size() >= faultyJobWorkers
-        || session.health.isFaultOfOneJob(faultyJobWorkers);
-    if (isJobsFault && !session.health.isAside())
+    const std::size_t needed
+        = std::min(faultyJobWorkers, capableWorkers(state, job.record.spec.size));
+    const bool isCharged = runtime.failedOn.size() >= needed && !session.health.isAside();
+    if (isCharged)
         runtime.chargedEarly.insert(worker);
-    const bool isCharged = isJobsFault && !session.health.isAside();
-    state.giveBack(job, replica, state.now + retryDelay(task.failures + (isCharged ? 1 : 0)));
+    const int failures = task.failures + int(session.health.failuresOf(key));
+    state.giveBack(job, replica, state.now + retryDelay(failures - 1));
     if (isCharged)
         state.charge(key);
     state.putAsideIfFailing(session);
@@ -87,6 +97,7 @@
     runtime.missingReports = 0;
     if (!runtime.isProven && state.now - runtime.firstStartAt >= startedWellAfter) {
         runtime.isProven = true;
+        runtime.failedOn.clear();
         noteSuccess(state, session, runtime.firstStartAt);
     }
     const bool isSaved = task.lastCheckpoint.number > runtime.checkpointBefore;
--- a/test/correctness/batch_fake_worker.h
+++ b/test/correctness/batch_fake_worker.h
@@ -22,6 +22,8 @@
     job_spec spec;
     duration length{}; ///< Real run time of a finite job.
     bool alwaysFails = false;
+    /// An outcome that was lost with its worker, or could not be reported for longer than the
+    /// leases last, is produced again from the last checkpoint; so this may exceed 1 under faults.
     int completions = 0;
     std::set<task_id> startedAttempts;
     std::map<int, std::int64_t> lastFrom; ///< By replica: the highest checkpoint resumed from.
@@ -48,6 +50,8 @@
     std::map<job_id, job_truth> truths;
     std::vector<fake_worker *> workers;
     std::vector<std::string> violations;
+    /// Reads the record of a task from the store, or nothing if the store does not have it.
+    std::function<std::optional<task_record>(const task_id &)> stored;
 
     void violate(instant now, const std::string &what)
     {
@@ -133,7 +137,7 @@
                     end(task, reported_state::failed, progress, "failed");
             } else if (truth.spec.kind == job_kind::finite && progress >= truth.length) {
                 end(task, reported_state::done, truth.length, "ok");
-                complete(id, now);
+                ++m_ledger.truths.at(id.job).completions;
             } else if (now >= task.leaseUntil) {
                 end(task, reported_state::stopped, progress, "lease expired");
             }
@@ -155,10 +159,15 @@
         task.result = result;
     }
 
-    void complete(const task_id &id, instant now)
+    void checkAgainstStore(const start_command &start, instant now)
     {
-        if (++m_ledger.truths.at(id.job).completions > 1)
-            m_ledger.violate(now, "completed twice: " + toString(id));
+        const auto record = m_ledger.stored(start.task);
+        const bool isNamed = record && record->state == task_state::claimed
+            && record->worker == info.worker && record->attempt == start.task.attempt;
+        if (!isNamed)
+            m_ledger.violate(now, "started without a claim in the store: " + toString(start.task));
+        else if (start.from.number < record->lastCheckpoint.number)
+            m_ledger.violate(now, "I3: not from its last checkpoint: " + toString(start.task));
     }
 
     void apply(const sync_request &request, instant now)
@@ -221,8 +230,7 @@
                                              + toString(id) + " on " + other->info.worker.value);
                 }
             }
-            if (truth.completions > 0)
-                m_ledger.violate(now, "I3: started after its completion: " + toString(start.task));
+            checkAgainstStore(start, now);
         }
         if (!truth.startedAttempts.insert(start.task).second)
             m_ledger.violate(now, "I3: an attempt started twice: " + toString(start.task));
--- a/test/correctness/batch_world.h
+++ b/test/correctness/batch_world.h
@@ -6,6 +6,9 @@
 #include "batch_fake_store.h"
 #include "batch_fake_worker.h"
 
+#include "batch/job_table.h"
+#include "batch/segment_codec.h"
+
 #include <deque>
 #include <memory>
 #include <queue>
@@ -56,6 +59,7 @@
     explicit world(const world_options &options)
         : random(stableHash("world", options.seed))
     {
+        ledger.stored = [this](const task_id &id) { return stored(id); };
         for (int i = 0; i < options.workers; ++i) {
             workers.push_back(std::make_unique<fake_worker>(ledger));
             fake_worker &w = *workers.back();
@@ -171,6 +175,21 @@
         return reply.jobs.front();
     }
 
+    /// Reads a task's record from the store.
+    std::optional<task_record> stored(const task_id &id) const
+    {
+        const shard_keys keys({data_centre_id{"dakar-1"}, 0});
+        const store_entry *entry = store.find(keys.segment(job_table::segmentOf(id.job)));
+        if (entry == nullptr)
+            return std::nullopt;
+        const auto jobs = decodeSegment(entry->value);
+        for (const job_record &job : *jobs) {
+            if (job.spec.id == id.job)
+                return job.tasks.at(std::size_t(id.replica));
+        }
+        return std::nullopt;
+    }
+
     duration networkDelay() { return duration(500 + std::int64_t(random.below(4000))); }
     bool happens(double share) { return share > 0 && random.fraction() < share; }
 
