--- a/packages/batch/placer.cpp
+++ b/packages/batch/placer.cpp
@@ -64,6 +64,22 @@
         || m_queueRevision != state.queueRevision || state.now >= m_nextReview;
 }
 
+std::optional<worker_id> placer::takeProbe(const shard_state &state, const queued_task &task,
+                                           const task_runtime &runtime)
+{
+    if (task.isLatencyCritical)
+        return std::nullopt;
+    for (auto at = m_probes.begin(); at != m_probes.end(); ++at) {
+        const worker_slot *slot = state.book.find(*at);
+        if (!fitsInto(task.size, slot->free()) || runtime.failedOn.count(*at) != 0)
+            continue;
+        const worker_id worker = *at;
+        m_probes.erase(at);
+        return worker;
+    }
+    return std::nullopt;
+}
+
 offer_result placer::offer(shard_state &state, const queued_task &task)
 {
     job_entry &job = *state.jobs.find(task.task.job);
@@ -81,12 +97,11 @@
     if (m_reservedWorker && m_reservedFor != task.task && !task.isLatencyCritical)
         request.reserved = &*m_reservedWorker;
     request.penalty = [&](const worker_slot &slot) {
-        // A worker on probation gets a task that can wait, and no latency-critical one.
-        if (!state.sessions.at(slot.worker).health.isAside())
-            return 0.0;
-        return task.isLatencyCritical ? 1.0 : -1.0;
+        return state.sessions.at(slot.worker).health.isAside() ? 1.0 : 0.0;
     };
-    const auto worker = chooseWorker(state.book, request);
+    auto worker = takeProbe(state, task, runtime);
+    if (!worker)
+        worker = chooseWorker(state.book, request);
     if (worker && state.claim(job, task.task.replica, *worker)) {
         if (m_reservedFor == task.task) {
             m_reservedFor.reset();
@@ -240,6 +255,12 @@
     m_queueRevision = state.queueRevision;
     m_nextReview = state.now + reviewInterval;
     m_roomWanted.clear();
+    m_probes.clear();
+    for (const auto &[worker, session] : state.sessions) {
+        const worker_slot *slot = state.book.find(worker);
+        if (session.health.isAside() && slot != nullptr && slot->isEligible)
+            m_probes.push_back(worker);
+    }
     reserve(state);
     std::size_t offers = 0;
     const auto placed = state.queue.offer(state.book.totalCapacity(), maxPlacedInPass,
--- a/packages/batch/placer.h
+++ b/packages/batch/placer.h
@@ -4,7 +4,11 @@
 
 #include "shard_state.h"
 
+#include <map>
 #include <optional>
+#include <set>
+#include <utility>
+#include <vector>
 
 namespace crocuswind {
 
@@ -30,6 +34,8 @@
 
 private:
     offer_result offer(shard_state &state, const queued_task &task);
+    std::optional<worker_id> takeProbe(const shard_state &state, const queued_task &task,
+                                       const task_runtime &runtime);
     void makeRoom(shard_state &state);
     void makeRoomFor(shard_state &state, const queued_task &task,
                      std::map<std::pair<job_id, rack_id>, int> &planned);
@@ -42,6 +48,7 @@
     bool m_isUnfinished = false; ///< The last pass stopped at its bounds.
     instant m_nextReview;
     std::vector<queued_task> m_roomWanted; ///< Tasks of this pass with a right to room.
+    std::vector<worker_id> m_probes; ///< Workers put aside that are due for one task.
     std::set<task_key> m_removedForRoom;
     std::optional<task_key> m_reservedFor;
     std::optional<worker_id> m_reservedWorker;
--- a/packages/batch/worker_health.cpp
+++ b/packages/batch/worker_health.cpp
@@ -24,8 +24,10 @@
 
 } // namespace
 
-void worker_health::noteFailure(instant now, const task_key &task)
+void worker_health::noteFailure(instant now, const task_key &task, instant startedAt)
 {
+    if (m_isAside && startedAt < m_probeAt)
+        return;
     if (m_failures.empty())
         m_streakBegan = now;
     m_failures.push_back(task);
--- a/packages/batch/worker_health.h
+++ b/packages/batch/worker_health.h
@@ -21,8 +21,9 @@
 class worker_health
 {
 public:
-    /// Notes that an attempt failed on the worker.
-    void noteFailure(instant now, const task_key &task);
+    /// Notes that an attempt that was started at \p startedAt failed on the worker. While the
+    /// worker is aside, only the failure of a probe counts.
+    void noteFailure(instant now, const task_key &task, instant startedAt);
 
     /// Notes that a task started at \p startedAt ended well or has run for `startedWellAfter`.
     /// Ends the streak of failures if the task was started after the streak began.
--- a/packages/batch/worker_reports.cpp
+++ b/packages/batch/worker_reports.cpp
@@ -56,14 +56,14 @@
     task_runtime &runtime = job.runtime[std::size_t(replica)];
     runtime.failedOn.insert(worker);
     task.result = reason;
-    session.health.noteFailure(state.now, key);
+    session.health.noteFailure(state.now, key, runtime.firstStartAt);
     const std::size_t needed
         = std::min(faultyJobWorkers, capableWorkers(state, job.record.spec.size));
     const bool isCharged = runtime.failedOn.size() >= needed && !session.health.isAside();
     if (isCharged)
         runtime.chargedEarly.insert(worker);
     const int failures = task.failures + int(session.health.failuresOf(key));
-    state.giveBack(job, replica, state.now + retryDelay(failures - 1));
+    state.giveBack(job, replica, state.now + retryDelay(std::max(failures - 1, 0)));
     if (isCharged)
         state.charge(key);
     state.putAsideIfFailing(session);
--- /dev/null
+++ b/test/failure/batch_authority_test.cpp
@@ -0,0 +1,253 @@
+// Guards the rules of authority one at a time: takeover within 10 s, nothing after a pause or a
+// lapse before the owner key is read again, an hour without the store, lost answers, truthful
+// refusals, and no second start of a job whose worker a former owner may still command.
+
+#include "correctness/batch_world.h"
+
+#include <gtest/gtest.h>
+
+using namespace crocuswind;
+
+namespace {
+
+std::size_t awaitOwner(world &w)
+{
+    w.runFor(5s);
+    EXPECT_TRUE(w.owner().has_value());
+    return w.owner().value_or(0);
+}
+
+std::size_t running(const world &w)
+{
+    std::size_t count = 0;
+    for (const auto &worker : w.workers) {
+        for (const auto &[id, task] : worker->tasks)
+            count += worker->isRunning(id, w.now) ? 1 : 0;
+    }
+    return count;
+}
+
+const std::vector<std::string> none;
+
+} // namespace
+
+TEST(Takeover, MovesTheQueueWithin10Seconds)
+{
+    duration longest{};
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        world_options options;
+        options.hosts = 3;
+        options.seed = seed;
+        world w(options);
+        const std::size_t first = awaitOwner(w);
+        for (int k = 0; k < 12; ++k)
+            w.submit(first, finiteJob("cert-" + std::to_string(k)), 60s);
+        w.runFor(5s + duration(std::int64_t(w.random.below(1'500'000))));
+        w.stopHost(first);
+        const instant died = w.now;
+        // A caller repeats its submission until it is accepted; there is room for the task.
+        const job_id id = finiteJob("next").id;
+        while (w.ledger.truths[id].startedAttempts.empty() && w.now < died + 30s) {
+            w.submit(w.owner().value_or((first + 1) % 3), finiteJob("next"), 5s);
+            w.runFor(100ms);
+        }
+        longest = std::max(longest, w.now - died);
+        w.runFor(80s);
+        EXPECT_EQ(w.ledger.violations, none);
+        for (const auto &[job, truth] : w.ledger.truths)
+            EXPECT_EQ(truth.completions, 1) << toString(job);
+    }
+    EXPECT_LE(longest, 10s);
+    RecordProperty("longest_ms", int(longest.count() / 1000));
+    fmt::print("longest time from death to the next start: {} ms\n", longest.count() / 1000);
+}
+
+TEST(Takeover, OneHostClaimsWhileTheOthersHoldBack)
+{
+    world_options options;
+    options.hosts = 5;
+    options.workers = 0;
+    world w(options);
+    const std::size_t first = awaitOwner(w);
+    w.stopHost(first);
+    const std::int64_t before = w.store.writes;
+    w.runFor(10s);
+    ASSERT_TRUE(w.owner());
+    EXPECT_EQ(w.store.writes - before, 1);
+}
+
+TEST(Pause, NothingIsSentBeforeTheOwnerKeyIsReadAgain)
+{
+    shard_core core({host_id{"entry-0"}, 1, {data_centre_id{"dakar-1"}, 0}, 1});
+    fake_store store;
+    instant now = instant() + 1s;
+    const std::int64_t lease = store.apply(store_lease_grant{3600}, now).lease;
+    std::vector<shard_action> actions;
+    std::vector<worker_id> synced;
+    const auto handle = [&](const auto &what) {
+        std::vector<shard_action> all = core.handle({now, what});
+        actions.insert(actions.end(), all.begin(), all.end());
+    };
+    const auto run = [&](bool answersStore) {
+        synced.clear();
+        for (std::size_t i = 0; i < actions.size(); ++i) {
+            const shard_action action = actions[i];
+            if (const auto *call = std::get_if<shard_store_call>(&action); call && answersStore)
+                handle(shard_store_result{call->token, store.apply(call->operation, now)});
+            if (const auto *sync = std::get_if<shard_sync_worker>(&action))
+                synced.push_back(sync->worker);
+        }
+        actions.clear();
+    };
+    handle(shard_hosts{{host_id{"entry-0"}}});
+    handle(shard_session{lease, now + 3600s});
+    handle(shard_workers{{{worker_id{"worker-0"}, rack_id{"r"}, {4000, 8000, 0}, false}}});
+    run(true);
+    ASSERT_TRUE(core.status().isOwner);
+    ASSERT_EQ(synced.size(), 1U);
+    now += 1s;
+    handle(shard_sync_result{worker_id{"worker-0"}, core.status().epoch, 1,
+                             sync_report{worker_id{"worker-0"}, 1, core.status().epoch, 1, {}}});
+    handle(shard_tick{});
+    run(true);
+    ASSERT_EQ(synced.size(), 1U);
+    // 20 s pass unnoticed, longer than any lease; another host has taken over meanwhile.
+    now += 20s;
+    handle(shard_sync_result{worker_id{"worker-0"}, core.status().epoch, 2,
+                             tl::unexpected(sync_error{})});
+    handle(shard_tick{});
+    run(false);
+    EXPECT_TRUE(synced.empty()) << "sent to a worker before the owner key was read";
+}
+
+TEST(Pause, AFormerOwnerCannotWriteNorCommand)
+{
+    world w{world_options()};
+    const std::size_t first = awaitOwner(w);
+    for (int k = 0; k < 8; ++k)
+        w.submit(first, finiteJob("cert-" + std::to_string(k)), 60s);
+    w.runFor(3s);
+    w.hosts[first].pausedUntil = w.now + 25s;
+    w.runFor(20s);
+    ASSERT_TRUE(w.owner());
+    EXPECT_NE(*w.owner(), first);
+    w.runFor(120s);
+    EXPECT_EQ(w.ledger.violations, none);
+    EXPECT_FALSE(w.hosts[first].core->status().isOwner);
+    for (const auto &[id, truth] : w.ledger.truths)
+        EXPECT_EQ(truth.completions, 1) << toString(id);
+}
+
+TEST(StoreOutage, AnHourHarmsNoRunningWorkAndOutcomesAreRecordedAfterwards)
+{
+    world w{world_options()};
+    const std::size_t i = awaitOwner(w);
+    for (int k = 0; k < 12; ++k)
+        w.submit(i, finiteJob("long-" + std::to_string(k)),
+                 k < 6 ? duration(600s) : duration(5000s));
+    w.runFor(10s);
+    EXPECT_EQ(running(w), 12U);
+    w.store.isDown = true;
+    const std::int64_t before = w.store.writes;
+    w.runFor(10s);
+    const caller_token refused = w.submit(i, finiteJob("refused"), 1s);
+    EXPECT_EQ(w.replies[refused].second.outcome, job_outcome::not_accepted);
+    w.runFor(3600s);
+    EXPECT_EQ(running(w), 6U) << "running work was harmed";
+    w.store.isDown = false;
+    w.runFor(20s);
+    EXPECT_EQ(running(w), 6U);
+    for (int k = 0; k < 6; ++k)
+        EXPECT_EQ(w.view(finiteJob("long-" + std::to_string(k)).id)->state, job_state::done);
+    EXPECT_LE(w.store.writes - before, 20) << "outcomes were not recorded at a paced rate";
+    w.runFor(1800s);
+    for (int k = 0; k < 12; ++k) {
+        const job_truth &truth = w.ledger.truths.at(finiteJob("long-" + std::to_string(k)).id);
+        EXPECT_EQ(truth.completions, 1);
+        EXPECT_EQ(truth.startedAttempts.size(), 1U);
+    }
+    EXPECT_TRUE(w.ledger.truths.at(finiteJob("refused").id).startedAttempts.empty());
+    EXPECT_EQ(w.ledger.violations, none);
+}
+
+TEST(StoreOutage, CommittedClaimsStart)
+{
+    world w{world_options()};
+    const std::size_t i = awaitOwner(w);
+    // The workers do not answer while the claims are committed, and do after the store went down.
+    for (const auto &worker : w.workers)
+        worker->pausedUntil = w.now + 2500ms;
+    for (int k = 0; k < 4; ++k)
+        w.submit(i, finiteJob("cert-" + std::to_string(k)), 60s);
+    w.runFor(2s);
+    EXPECT_EQ(running(w), 0U);
+    w.store.isDown = true;
+    w.runFor(20s);
+    EXPECT_EQ(running(w), 4U);
+    EXPECT_EQ(w.ledger.violations, none);
+}
+
+TEST(LostAnswer, IsResolvedByReadingTheCommitRecord)
+{
+    world w{world_options()};
+    const std::size_t i = awaitOwner(w);
+    w.lostAnswerRate = 1;
+    const caller_token caller = w.submit(i, finiteJob("cert-1"), 5s);
+    w.runFor(50ms);
+    w.lostAnswerRate = 0;
+    w.runFor(4s);
+    EXPECT_EQ(w.replies[caller].second.outcome, job_outcome::accepted);
+    w.runFor(20s);
+    EXPECT_EQ(w.ledger.truths.at(finiteJob("cert-1").id).completions, 1);
+    EXPECT_EQ(w.ledger.violations, none);
+}
+
+TEST(FormerOwner, StillReachingAWorkerKeepsItsFiniteJobsFromBeingStartedElsewhere)
+{
+    world w{world_options()};
+    const std::size_t first = awaitOwner(w);
+    for (int k = 0; k < 4; ++k)
+        w.submit(first, finiteJob("cert-" + std::to_string(k), 4000), 200s);
+    w.runFor(4s);
+    // The owner loses the store and keeps renewing; the next one cannot reach worker 0.
+    w.hosts[first].isCutFromStore = true;
+    for (fake_host &host : w.hosts) {
+        if (host.id != w.hosts[first].id)
+            host.cutFrom.insert(w.workers[0]->info.worker);
+    }
+    w.runFor(90s);
+    ASSERT_TRUE(w.owner());
+    EXPECT_NE(*w.owner(), first);
+    EXPECT_EQ(running(w), 4U);
+    EXPECT_EQ(w.ledger.violations, none);
+    for (fake_host &host : w.hosts)
+        host.cutFrom.clear();
+    w.runFor(200s);
+    for (const auto &[id, truth] : w.ledger.truths)
+        EXPECT_EQ(truth.completions, 1) << toString(id);
+    EXPECT_EQ(w.ledger.violations, none);
+}
+
+TEST(DeadWorker, ItsTasksResumeFromTheirCheckpointOnceTheLeaseIsOver)
+{
+    world w{world_options()};
+    const std::size_t i = awaitOwner(w);
+    for (int k = 0; k < 8; ++k)
+        w.submit(i, finiteJob("cert-" + std::to_string(k), 1000), 60s);
+    w.runFor(20s);
+    w.workers[0]->isAlive = false;
+    const instant died = w.now;
+    w.runFor(30s);
+    const std::size_t before = running(w);
+    w.runFor(10s);
+    EXPECT_GT(running(w), before);
+    EXPECT_LE(w.now - died, 40s);
+    w.runFor(80s);
+    for (const auto &[id, truth] : w.ledger.truths) {
+        EXPECT_EQ(truth.completions, 1) << toString(id);
+        if (truth.startedAttempts.size() > 1) {
+            EXPECT_GE(truth.lastFrom.at(0), 2) << "did not resume from the checkpoint";
+        }
+    }
+    EXPECT_EQ(w.ledger.violations, none);
+}
--- /dev/null
+++ b/test/failure/batch_storms_test.cpp
@@ -0,0 +1,187 @@
+// Guards against storms: workers that fail everything they start, jobs that fail everywhere, a lost
+// rack, teams that take more than their share, and large tasks starved by small ones.
+
+#include "correctness/batch_world.h"
+
+#include <gtest/gtest.h>
+
+using namespace crocuswind;
+
+namespace {
+
+const std::vector<std::string> none;
+
+std::size_t awaitOwner(world &w)
+{
+    w.runFor(5s);
+    EXPECT_TRUE(w.owner().has_value());
+    return w.owner().value_or(0);
+}
+
+world_options twelveWorkers()
+{
+    world_options options;
+    options.workers = 12;
+    return options;
+}
+
+} // namespace
+
+TEST(FailingWorker, IsPutAsideWithin5StartsOr10SecondsAndChargesNoJob)
+{
+    world w(twelveWorkers());
+    const std::size_t i = awaitOwner(w);
+    w.workers[3]->failsEverything = true;
+    for (int k = 0; k < 200; ++k)
+        w.at(w.now + 50ms * k,
+             [&w, i, k] { w.submit(i, finiteJob("cert-" + std::to_string(k)), 8s); });
+    w.runFor(10s);
+    EXPECT_EQ(w.hosts[i].core->status().workersAside, 1U);
+    EXPECT_LE(w.workers[3]->starts, 5);
+    fmt::print("starts on the failing worker: {}\n", w.workers[3]->starts);
+    w.runFor(120s);
+    for (int k = 0; k < 200; ++k) {
+        const auto view = w.view(finiteJob("cert-" + std::to_string(k)).id);
+        EXPECT_EQ(view->state, job_state::done);
+        EXPECT_EQ(view->record.tasks[0].failures, 0);
+    }
+    EXPECT_EQ(w.ledger.violations, none);
+}
+
+TEST(FailingWorker, ComesBackAfterAProbe)
+{
+    world w(twelveWorkers());
+    const std::size_t i = awaitOwner(w);
+    w.workers[3]->failsEverything = true;
+    for (int k = 0; k < 400; ++k)
+        w.at(w.now + 250ms * k,
+             [&w, i, k] { w.submit(i, finiteJob("cert-" + std::to_string(k)), 8s); });
+    w.runFor(15s);
+    EXPECT_EQ(w.hosts[i].core->status().workersAside, 1U);
+    w.workers[3]->failsEverything = false;
+    w.runFor(45s);
+    EXPECT_EQ(w.hosts[i].core->status().workersAside, 0U);
+}
+
+TEST(FailingWorker, AtMostAThirdOfTheWorkersAreAside)
+{
+    world w(twelveWorkers());
+    const std::size_t i = awaitOwner(w);
+    for (const auto &worker : w.workers)
+        worker->failsEverything = true;
+    for (int k = 0; k < 100; ++k)
+        w.at(w.now + 100ms * k,
+             [&w, i, k] { w.submit(i, finiteJob("cert-" + std::to_string(k)), 8s); });
+    std::size_t most = 0;
+    for (int step = 0; step < 60; ++step) {
+        w.runFor(1s);
+        most = std::max(most, w.hosts[i].core->status().workersAside);
+    }
+    EXPECT_GE(most, 1U);
+    EXPECT_LE(most, 4U);
+    for (const auto &worker : w.workers)
+        worker->failsEverything = false;
+    w.runFor(400s);
+    for (int k = 0; k < 100; ++k)
+        EXPECT_EQ(w.view(finiteJob("cert-" + std::to_string(k)).id)->state, job_state::done) << k;
+}
+
+TEST(FailingJob, FailsForGoodAndPutsNoWorkerAside)
+{
+    world w(twelveWorkers());
+    const std::size_t i = awaitOwner(w);
+    w.submit(i, finiteJob("broken"), 8s, true);
+    for (int k = 0; k < 200; ++k) {
+        w.at(w.now + 2s * k,
+             [&w, i, k] { w.submit(i, finiteJob("cert-" + std::to_string(k)), 8s); });
+    }
+    std::size_t aside = 0;
+    for (int step = 0; step < 600; ++step) {
+        w.runFor(1s);
+        aside = std::max(aside, w.hosts[i].core->status().workersAside);
+    }
+    EXPECT_EQ(aside, 0U);
+    EXPECT_EQ(w.view(finiteJob("broken").id)->state, job_state::failed);
+}
+
+TEST(LostRack, ComesBackWithoutAStampede)
+{
+    world w(twelveWorkers());
+    const std::size_t i = awaitOwner(w);
+    for (int k = 0; k < 36; ++k)
+        w.submit(i, finiteJob("cert-" + std::to_string(k), 1000), 200s);
+    w.runFor(30s);
+    for (std::size_t k = 0; k < 6; ++k)
+        w.workers[k]->isAlive = false;
+    const std::int64_t before = w.store.writes;
+    const instant died = w.now;
+    w.runFor(60s);
+    EXPECT_LE(w.store.writes - before, 65);
+    fmt::print("store writes in the 60 s after the loss of half the workers: {}\n",
+               w.store.writes - before);
+    for (std::size_t k = 0; k < 6; ++k)
+        w.workers[k]->restart();
+    w.runFor(400s);
+    for (const auto &[id, truth] : w.ledger.truths)
+        EXPECT_EQ(truth.completions, 1) << toString(id);
+    EXPECT_EQ(w.ledger.violations, none);
+    EXPECT_GT(w.now, died);
+}
+
+TEST(Quota, ABorrowingTeamGivesBackAndResumesFromItsCheckpoint)
+{
+    world w{world_options()};
+    const std::size_t i = awaitOwner(w);
+    w.deliver(i, w.hosts[i].life, shard_quotas{{{team_id{"lab"}, 1}, {team_id{"yard"}, 1}}});
+    for (int k = 0; k < 16; ++k)
+        w.submit(i, finiteJob("cert-" + std::to_string(k), 1000), 1000s);
+    w.runFor(30s);
+    EXPECT_EQ(w.hosts[i].core->status().claimedTasks, 16U);
+    for (int k = 0; k < 16; ++k) {
+        job_spec spec = finiteJob("batch-" + std::to_string(k), 1000);
+        spec.id.team.value = "yard";
+        w.submit(i, spec, 1000s);
+    }
+    w.runFor(400s);
+    std::size_t yard = 0;
+    for (int k = 0; k < 16; ++k) {
+        const auto view = w.view({team_id{"yard"}, "batch-" + std::to_string(k)});
+        yard += view->state == job_state::running ? 1 : 0;
+    }
+    EXPECT_GE(yard, 7U);
+    EXPECT_LE(yard, 9U);
+    EXPECT_EQ(w.ledger.violations, none);
+}
+
+TEST(Ageing, ALargeTaskIsNotStarvedByAStreamOfSmallOnes)
+{
+    world w{world_options()};
+    const std::size_t i = awaitOwner(w);
+    for (int k = 0; k < 4000; ++k)
+        w.at(w.now + 200ms * k,
+             [&w, i, k] { w.submit(i, finiteJob("small-" + std::to_string(k), 1000), 5s); });
+    w.runFor(20s);
+    w.submit(i, finiteJob("large", 4000), 5s);
+    w.runFor(240s);
+    EXPECT_EQ(w.view(finiteJob("large", 4000).id)->state, job_state::done);
+}
+
+TEST(LeavingWorker, HandsItsTasksOnWithTheirCheckpoints)
+{
+    world w{world_options()};
+    const std::size_t i = awaitOwner(w);
+    for (int k = 0; k < 8; ++k)
+        w.submit(i, finiteJob("cert-" + std::to_string(k), 1000), 60s);
+    w.runFor(12s);
+    w.workers[0]->info.isLeaving = true;
+    w.workers[1]->info.isLeaving = true;
+    w.runFor(8s);
+    for (std::size_t k = 0; k < 2; ++k) {
+        for (const auto &[id, task] : w.workers[k]->tasks)
+            EXPECT_NE(task.state, reported_state::running) << toString(id);
+    }
+    w.runFor(80s);
+    for (const auto &[id, truth] : w.ledger.truths)
+        EXPECT_EQ(truth.completions, 1) << toString(id);
+    EXPECT_EQ(w.ledger.violations, none);
+}
