--- a/packages/batch/placer.cpp
+++ b/packages/batch/placer.cpp
@@ -256,9 +256,9 @@
     m_nextReview = state.now + reviewInterval;
     m_roomWanted.clear();
     m_probes.clear();
-    for (const auto &[worker, session] : state.sessions) {
+    for (const worker_id &worker : state.aside) {
         const worker_slot *slot = state.book.find(worker);
-        if (session.health.isAside() && slot != nullptr && slot->isEligible)
+        if (slot != nullptr && slot->isEligible)
             m_probes.push_back(worker);
     }
     reserve(state);
--- a/packages/batch/shard_state.cpp
+++ b/packages/batch/shard_state.cpp
@@ -17,6 +17,7 @@
     book = commitment_book();
     queue.clear();
     delayed.clear();
+    aside.clear();
     for (auto at = sessions.begin(); at != sessions.end();) {
         worker_session fresh;
         fresh.info = at->second.info;
@@ -78,6 +79,7 @@
     }
     queue.use(job.record.spec.id.team, size, false);
     job.runtime[std::size_t(replica)].isFromStore = true;
+    ++session.unproven;
 }
 
 void shard_state::setWorkers(const std::vector<worker_info> &workers)
@@ -122,8 +124,10 @@
         }
         const worker_slot *slot = book.find(at->first);
         const bool isUnused = slot == nullptr || slot->tasks.empty();
-        if (isUnused)
+        if (isUnused) {
             (void)book.removeWorker(at->first);
+            aside.erase(at->first);
+        }
         at = isUnused ? sessions.erase(at) : std::next(at);
     }
 }
@@ -239,6 +243,7 @@
     runtime.waitingSince = old.waitingSince;
     runtime.claimedAt = touch(job, job.record.spec.kind == job_kind::service);
     old = std::move(runtime);
+    ++sessions.at(worker).unproven;
     refreshEligibility(worker);
     return true;
 }
@@ -251,6 +256,7 @@
     CROCUSWIND_INVARIANT(isReleased, toString(job.record.spec.id));
     queue.use(key.job.team, job.record.spec.size, true);
     const worker_id worker = task.worker;
+    setProven(job, replica);
     task.worker = worker_id();
     refreshEligibility(worker);
 }
@@ -341,12 +347,19 @@
     return pipeline.isDurable(job.segment, job.touchedAt);
 }
 
-std::int64_t shard_state::unprovenStarts(const shard_state &state, const worker_slot &slot)
+void shard_state::setProven(job_entry &job, int replica)
+{
+    task_runtime &runtime = job.runtime[std::size_t(replica)];
+    if (runtime.isProven)
+        return;
+    runtime.isProven = true;
+    --sessions.at(job.record.tasks[std::size_t(replica)].worker).unproven;
+}
+
+void shard_state::endAside(worker_session &session)
 {
-    return std::count_if(slot.tasks.begin(), slot.tasks.end(), [&](const auto &entry) {
-        const job_entry *job = state.jobs.find(entry.first.job);
-        return !job->runtime[std::size_t(entry.first.replica)].isProven;
-    });
+    if (aside.erase(session.info.worker) != 0)
+        log(fmt::format("worker {} gets tasks again", session.info.worker.value));
 }
 
 void shard_state::refreshEligibility(const worker_id &worker)
@@ -358,8 +371,7 @@
     const worker_session &session = at->second;
     const bool isUsable = session.isListed && !session.info.isLeaving && session.isContacted
         && !session.isSilent(now) && session.strays.empty() && !book.isOvercommitted(worker);
-    const auto limit = std::int64_t(session.health.maxUnprovenStarts(now));
-    book.setEligible(worker, isUsable && unprovenStarts(*this, *slot) < limit);
+    book.setEligible(worker, isUsable && session.unproven < session.health.maxUnprovenStarts(now));
 }
 
 void shard_state::putAsideIfFailing(worker_session &session)
@@ -368,9 +380,7 @@
         return;
     const auto listed = std::size_t(std::count_if(sessions.begin(), sessions.end(),
                                                   [](const auto &s) { return s.second.isListed; }));
-    const auto aside = std::size_t(std::count_if(
-        sessions.begin(), sessions.end(), [](const auto &s) { return s.second.health.isAside(); }));
-    if (!session.health.isAside() && aside >= listed / asideFraction)
+    if (!session.health.isAside() && aside.size() >= listed / asideFraction)
         return;
     if (!session.health.isAside())
         log(fmt::format("put worker {} aside: it fails what it starts", session.info.worker.value));
@@ -387,6 +397,7 @@
         }
     }
     session.health.putAside(now);
+    aside.insert(session.info.worker);
     refreshEligibility(session.info.worker);
 }
 
--- a/packages/batch/shard_state.h
+++ b/packages/batch/shard_state.h
@@ -48,6 +48,7 @@
     std::vector<task_id> strays; ///< Reported as running without a claim; to be stopped.
     std::vector<task_id> ended; ///< Reported as ended; to be forgotten once that is durable.
     worker_health health;
+    std::size_t unproven = 0; ///< Claimed tasks that have not yet been seen to start well.
 
     bool isSilent(instant now) const { return now - lastHeardAt > silentAfter; }
 };
@@ -102,6 +103,12 @@
     /// Recomputes whether new tasks may be placed on the worker.
     void refreshEligibility(const worker_id &worker);
 
+    /// Notes that a claimed task has started well.
+    void setProven(job_entry &job, int replica);
+
+    /// Brings a worker back that was put aside.
+    void endAside(worker_session &session);
+
     /// Puts a failing worker aside, unless too many already are.
     void putAsideIfFailing(worker_session &session);
 
@@ -122,6 +129,7 @@
     job_queue queue;
     commitment_book book;
     std::map<worker_id, worker_session> sessions;
+    std::set<worker_id> aside; ///< Workers that are put aside.
     std::set<std::pair<instant, task_key>> delayed; ///< Waiting tasks that are not yet queued.
     bool hasHostList = false;
     bool isDraining = false;
@@ -129,7 +137,6 @@
     std::uint64_t queueRevision = 0; ///< Increases when a task enters the queue.
 
 private:
-    static std::int64_t unprovenStarts(const shard_state &state, const worker_slot &slot);
     void restoreClaim(job_entry &job, int replica);
     void enqueue(job_entry &job, int replica, instant notBefore);
     void unqueue(job_entry &job, int replica);
--- a/packages/batch/worker_reports.cpp
+++ b/packages/batch/worker_reports.cpp
@@ -34,7 +34,6 @@
 
 void noteSuccess(shard_state &state, worker_session &session, instant startedAt)
 {
-    const bool wasAside = session.health.isAside();
     for (const task_key &key : session.health.noteSuccess(startedAt)) {
         job_entry *job = state.jobs.find(key.job);
         if (job == nullptr)
@@ -43,8 +42,8 @@
         if (runtime.chargedEarly.erase(session.info.worker) == 0)
             state.charge(key);
     }
-    if (wasAside && !session.health.isAside())
-        state.log(fmt::format("worker {} starts tasks again", session.info.worker.value));
+    if (!session.health.isAside())
+        state.endAside(session);
 }
 
 void handleFailure(shard_state &state, worker_session &session, job_entry &job, int replica,
@@ -83,7 +82,8 @@
     }
     runtime.isSeen = true;
     // What a former owner started has been running for a while.
-    runtime.isProven = runtime.isFromStore;
+    if (runtime.isFromStore)
+        state.setProven(job, reported.task.replica);
     runtime.isFromStore = false;
     runtime.startedIn = session.life;
     if (runtime.firstStartAt == instant())
@@ -96,7 +96,7 @@
     task_runtime &runtime = job.runtime[std::size_t(replica)];
     runtime.missingReports = 0;
     if (!runtime.isProven && state.now - runtime.firstStartAt >= startedWellAfter) {
-        runtime.isProven = true;
+        state.setProven(job, replica);
         runtime.failedOn.clear();
         noteSuccess(state, session, runtime.firstStartAt);
     }
@@ -181,8 +181,10 @@
         && report.sequence <= session.sequence && report.life >= session.life;
     if (!isCurrent)
         return;
-    if (session.life != 0 && report.life != session.life)
+    if (session.life != 0 && report.life != session.life) {
         session.health = worker_health();
+        state.endAside(session);
+    }
     if (!session.isContacted) {
         // From now on the worker refuses a former owner, whose last renewal may just have arrived.
         session.isContacted = true;
