--- a/packages/batch/job_table.cpp
+++ b/packages/batch/job_table.cpp
@@ -1,5 +1,6 @@
 #include "job_table.h"
 
+#include "interference.h"
 #include "segment_codec.h"
 
 namespace crocuswind {
@@ -25,6 +26,7 @@
     const job_id id = record.spec.id;
     job_entry entry;
     entry.segment = segmentOf(id);
+    entry.workKind = workKindOf(id);
     entry.runtime.resize(record.tasks.size());
     for (task_runtime &runtime : entry.runtime)
         runtime.waitingSince = now;
--- a/packages/batch/job_table.h
+++ b/packages/batch/job_table.h
@@ -53,6 +53,7 @@
 {
     job_record record;
     int segment = 0;
+    std::string workKind; ///< See `workKindOf`.
     std::int64_t touchedAt = 0; ///< Sequence of the commit that holds its last change.
     std::int64_t submittedAt = 0; ///< Sequence of the commit that holds its submission.
     std::vector<task_runtime> runtime;
--- /dev/null
+++ b/packages/batch/learned_interference.h
@@ -0,0 +1,46 @@
+/// Our policy against interference: a model of which kind of work slows which, learned from lagging
+/// usage, and a controller that acts on the cause, one step at a time.
+#ifndef CROCUSWIND_BATCH_LEARNED_INTERFERENCE_H
+#define CROCUSWIND_BATCH_LEARNED_INTERFERENCE_H
+
+#include "interference.h"
+
+namespace crocuswind {
+
+/// The slowdown of a latency-critical task is modelled as 1 plus, for each kind of batch work on
+/// the worker, its share of the cores times a factor for the two kinds. The factors are learned
+/// with normalised least mean squares and never become negative.
+class learned_interference final : public interference_policy
+{
+public:
+    double penalty(const worker_load &load, bool isLatencyCritical, double pressure,
+                   std::int64_t milliCores) const override;
+    double pressureOf(const std::string &workKind) const override;
+    std::vector<control_step> observe(instant now, const observed_worker &worker) override;
+
+private:
+    /// Work kinds: the one that is slowed, the one that slows it.
+    using pair_key = std::pair<std::string, std::string>;
+    using shares = std::map<std::string, double>;
+
+    struct worker_memory
+    {
+        std::optional<instant> actedAt; ///< The last step, whose effect may not yet be visible.
+        std::optional<instant> calmSince;
+    };
+
+    static shares sharesOf(const observed_worker &worker);
+    void learn(instant now, const observed_worker &worker);
+    double factor(const std::string &slowed, const std::string &cause) const;
+    std::optional<control_step> chooseStep(const observed_worker &worker,
+                                           const std::string &slowed) const;
+    std::optional<control_step> chooseRelease(const observed_worker &worker) const;
+
+    std::map<pair_key, double> m_factors;
+    std::map<std::string, double> m_pressure; ///< By causing kind, the mean over the slowed kinds.
+    std::map<worker_id, worker_memory> m_workers;
+};
+
+} // namespace crocuswind
+
+#endif
--- a/packages/batch/placement.cpp
+++ b/packages/batch/placement.cpp
@@ -1,6 +1,7 @@
 #include "placement.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace crocuswind {
@@ -37,6 +38,8 @@
             replicas = at == m_request.replicasByRack->end() ? 0 : at->second;
         }
         const double penalty = m_request.penalty ? m_request.penalty(slot) : 0;
+        if (penalty == std::numeric_limits<double>::infinity())
+            return true;
         const std::int64_t left = free.milliCores - m_request.size.milliCores;
         const rank candidate{isAvoided, replicas, penalty,
                              m_request.isLatencyCritical ? -left : left, slot.worker};
--- a/packages/batch/placement.h
+++ b/packages/batch/placement.h
@@ -25,7 +25,7 @@
     /// A worker whose room is kept for another task. May be null.
     const worker_id *reserved = nullptr;
     /// Expected harm of the placement to the work on the worker and to the task; smaller is better.
-    /// May be empty. Used for ranking only.
+    /// May be empty. Used for ranking; infinity forbids the worker.
     std::function<double(const worker_slot &)> penalty;
 };
 
--- a/packages/batch/placer.cpp
+++ b/packages/batch/placer.cpp
@@ -96,8 +96,14 @@
         request.avoid = &runtime.failedOn;
     if (m_reservedWorker && m_reservedFor != task.task && !task.isLatencyCritical)
         request.reserved = &*m_reservedWorker;
+    const double pressure = state.policy->pressureOf(job.workKind);
     request.penalty = [&](const worker_slot &slot) {
-        return state.sessions.at(slot.worker).health.isAside() ? 1.0 : 0.0;
+        const worker_session &session = state.sessions.at(slot.worker);
+        // Nothing weighs more than not to start a task on a worker that fails what it starts.
+        constexpr double asidePenalty = 1e12;
+        return (session.health.isAside() ? asidePenalty : 0)
+            + state.policy->penalty(session.load, task.isLatencyCritical, pressure,
+                                    task.size.milliCores);
     };
     auto worker = takeProbe(state, task, runtime);
     if (!worker)
--- a/packages/batch/shard_core.cpp
+++ b/packages/batch/shard_core.cpp
@@ -1,6 +1,7 @@
 #include "shard_core.h"
 
 #include "caller_desk.h"
+#include "eviction_control.h"
 #include "placer.h"
 #include "shard_state.h"
 #include "worker_reports.h"
@@ -48,6 +49,7 @@
     void on(const shard_tick & /*tick*/) { }
     void on(const shard_drain & /*drain*/);
 
+    void handleReport(const sync_report &report);
     void handleCommitResult(const store_result &result);
     void step();
     void stepDrain();
@@ -143,7 +145,7 @@
     if (result.result) {
         // The report of a worker at another's address must not count as this worker's.
         if (result.result->worker == result.worker)
-            applyReport(m_state, *result.result);
+            handleReport(*result.result);
         return;
     }
     const bool isStale = result.result.error().why == sync_error::reason::stale_epoch
@@ -153,6 +155,12 @@
     handleSyncError(m_state, session, result.result.error());
 }
 
+void shard_core::implementation::handleReport(const sync_report &report)
+{
+    applyReport(m_state, report);
+    controlInterference(m_state, report.worker);
+}
+
 void shard_core::implementation::on(const shard_drain & /*drain*/)
 {
     if (m_state.isDraining)
--- a/packages/batch/shard_core.h
+++ b/packages/batch/shard_core.h
@@ -2,6 +2,7 @@
 #ifndef CROCUSWIND_BATCH_SHARD_CORE_H
 #define CROCUSWIND_BATCH_SHARD_CORE_H
 
+#include "interference.h"
 #include "shard_events.h"
 
 #include <memory>
@@ -17,6 +18,7 @@
         = 0; ///< Of this host's process; distinguishes its writes from an earlier one's.
     shard_id shard;
     int shardCount = 1; ///< Shards of the data centre, for the assignment of workers and jobs.
+    interference_control control = interference_control::learned;
 };
 
 /// Returns the shard of \p shardCount that a job belongs to.
--- a/packages/batch/shard_state.cpp
+++ b/packages/batch/shard_state.cpp
@@ -9,6 +9,7 @@
     : settings(given)
     , owner(given.host, given.life, given.shard)
     , pipeline(owner.keys(), owner.writer())
+    , policy(makeInterferencePolicy(given.control))
 { }
 
 void shard_state::clear()
@@ -80,6 +81,22 @@
     queue.use(job.record.spec.id.team, size, false);
     job.runtime[std::size_t(replica)].isFromStore = true;
     ++session.unproven;
+    noteLoad(job, worker, false);
+}
+
+void shard_state::noteLoad(const job_entry &job, const worker_id &worker, bool isRelease)
+{
+    worker_session &session = sessions.at(worker);
+    const worker_slot *slot = book.find(worker);
+    const std::int64_t cores = (isRelease ? -1 : 1) * job.record.spec.size.milliCores;
+    session.changedAt = now;
+    if (job.record.spec.kind == job_kind::service) {
+        session.load.latencyCriticalCores += cores;
+        return;
+    }
+    session.load.batchCores += cores;
+    session.load.pressure += policy->pressureOf(job.workKind) * double(cores)
+        / double(std::max<std::int64_t>(slot->capacity.milliCores, 1));
 }
 
 void shard_state::setWorkers(const std::vector<worker_info> &workers)
@@ -244,6 +261,7 @@
     runtime.claimedAt = touch(job, job.record.spec.kind == job_kind::service);
     old = std::move(runtime);
     ++sessions.at(worker).unproven;
+    noteLoad(job, worker, false);
     refreshEligibility(worker);
     return true;
 }
@@ -257,6 +275,7 @@
     queue.use(key.job.team, job.record.spec.size, true);
     const worker_id worker = task.worker;
     setProven(job, replica);
+    noteLoad(job, worker, true);
     task.worker = worker_id();
     refreshEligibility(worker);
 }
--- a/packages/batch/shard_state.h
+++ b/packages/batch/shard_state.h
@@ -4,6 +4,7 @@
 #define CROCUSWIND_BATCH_SHARD_STATE_H
 
 #include "commit_pipeline.h"
+#include "interference.h"
 #include "job_queue.h"
 #include "job_table.h"
 #include "ownership.h"
@@ -11,6 +12,7 @@
 #include "worker_health.h"
 
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <utility>
@@ -48,6 +50,8 @@
     std::vector<task_id> strays; ///< Reported as running without a claim; to be stopped.
     std::vector<task_id> ended; ///< Reported as ended; to be forgotten once that is durable.
     worker_health health;
+    worker_load load; ///< For ranking by interference.
+    instant changedAt; ///< When a task last came, left or changed its throttle.
     std::size_t unproven = 0; ///< Claimed tasks that have not yet been seen to start well.
 
     bool isSilent(instant now) const { return now - lastHeardAt > silentAfter; }
@@ -128,6 +132,7 @@
     job_table jobs;
     job_queue queue;
     commitment_book book;
+    std::unique_ptr<interference_policy> policy;
     std::map<worker_id, worker_session> sessions;
     std::set<worker_id> aside; ///< Workers that are put aside.
     std::set<std::pair<instant, task_key>> delayed; ///< Waiting tasks that are not yet queued.
@@ -141,6 +146,7 @@
     void enqueue(job_entry &job, int replica, instant notBefore);
     void unqueue(job_entry &job, int replica);
     void endClaim(job_entry &job, int replica);
+    void noteLoad(const job_entry &job, const worker_id &worker, bool isRelease);
     void reduceOvercommitment(const worker_id &worker);
 };
 
