Compare the policies against interference; test three guards that nothing showed red

The learned policy now gathers latency-critical tasks, packs batch work up to an acceptable slowdown, throttles in two steps, and moves a task only if another worker expects less harm.

--- a/packages/batch/interference.cpp
+++ b/packages/batch/interference.cpp
@@ -11,8 +11,8 @@
 class no_control : public interference_policy
 {
 public:
-    double penalty(const worker_load & /*load*/, bool /*isLatencyCritical*/, double /*pressure*/,
-                   std::int64_t /*milliCores*/) const override
+    double penalty(const worker_id & /*worker*/, const worker_load & /*load*/,
+                   bool /*isLatencyCritical*/, double /*added*/) const override
     {
         return 0;
     }
@@ -26,11 +26,12 @@
 class static_separation final : public no_control
 {
 public:
-    double penalty(const worker_load &load, bool isLatencyCritical, double /*pressure*/,
-                   std::int64_t /*milliCores*/) const override
+    double penalty(const worker_id &worker, const worker_load & /*load*/, bool isLatencyCritical,
+                   double /*added*/) const override
     {
-        const std::int64_t others = isLatencyCritical ? load.batchCores : load.latencyCriticalCores;
-        return others > 0 ? std::numeric_limits<double>::infinity() : 0;
+        const bool isForLatencyCritical = stableHash(worker.value) % 3 == 0;
+        return isForLatencyCritical == isLatencyCritical ? 0
+                                                         : std::numeric_limits<double>::infinity();
     }
 };
 
--- a/packages/batch/interference.h
+++ b/packages/batch/interference.h
@@ -70,8 +70,9 @@
     virtual ~interference_policy() = default;
 
     /// Returns the expected harm of placing a task, for ranking; infinity forbids the worker.
-    virtual double penalty(const worker_load &load, bool isLatencyCritical, double pressure,
-                           std::int64_t milliCores) const = 0;
+    /// \p added is the pressure that the task adds to the worker, if it is batch work.
+    virtual double penalty(const worker_id &worker, const worker_load &load, bool isLatencyCritical,
+                           double added) const = 0;
 
     /// Returns the slowdown that one worker full of this kind of work causes, beyond 1.
     virtual double pressureOf(const std::string &workKind) const = 0;
@@ -83,7 +84,7 @@
 /// The policies that can be compared.
 enum class interference_control {
     none, ///< Ignores interference.
-    separation, ///< Never lets batch work and latency-critical tasks share a worker.
+    separation, ///< Keeps a third of the workers for latency-critical tasks, the rest for batch.
     threshold, ///< Throttles all batch work on a worker while a latency-critical task is slow.
     learned, ///< Learns which kinds interfere, places by it, and acts on the cause in steps.
 };
--- a/packages/batch/learned_interference.cpp
+++ b/packages/batch/learned_interference.cpp
@@ -14,8 +14,11 @@
 constexpr duration calmTime = 30s;
 /// A measurement shows the effect of a change only if it was taken this long after it.
 constexpr duration settleTime = 2s;
-/// The share of its cores that a throttled task keeps.
-constexpr int throttledPermille = 300;
+/// The shares of its cores that a task keeps after the first and the second throttling.
+constexpr int firstThrottle = 300;
+constexpr int secondThrottle = 100;
+/// The slowdown beyond 1 up to which a worker is filled.
+constexpr double acceptable = 0.2;
 /// Half of an error is corrected at once: fast enough for waves of noise, slow enough that one
 /// outlier does not evict anything.
 constexpr double learningRate = 0.5;
@@ -56,12 +59,28 @@
     return at == m_pressure.end() ? 0 : at->second;
 }
 
-double learned_interference::penalty(const worker_load &load, bool isLatencyCritical,
-                                     double pressure, std::int64_t milliCores) const
+double learned_interference::penalty(const worker_id & /*worker*/, const worker_load &load,
+                                     bool isLatencyCritical, double added) const
 {
-    if (isLatencyCritical)
-        return load.pressure;
-    return pressure * double(milliCores) * double(load.latencyCriticalCores);
+    if (isLatencyCritical) {
+        // With little between them, workers that hold such tasks already are preferred, so that
+        // work that interferes finds others. The spread over racks comes before this.
+        constexpr std::int64_t fullCores = 8000;
+        constexpr double gathering = 0.1;
+        return load.pressure
+            - gathering * double(std::min(load.latencyCriticalCores, fullCores)) / fullCores;
+    }
+    if (load.latencyCriticalCores == 0)
+        return 0;
+    // Harm begins where the slowdown exceeds what is acceptable; below that, work is packed.
+    return std::max(0.0, load.pressure + added - acceptable);
+}
+
+bool learned_interference::hasBetterPlace(const worker_id &worker, double effect) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
+        return entry.first != worker && entry.second.expected + effect < acceptable;
+    });
 }
 
 void learned_interference::learn(instant now, const observed_worker &worker)
@@ -103,25 +122,27 @@
 std::optional<control_step> learned_interference::chooseStep(const observed_worker &worker,
                                                              const std::string &slowed) const
 {
-    const observed_task *best = nullptr;
+    std::optional<control_step> best;
     double bestWorth = 0;
     for (const observed_task &task : worker.tasks) {
         if (task.kind == job_kind::service || task.isLeaving)
             continue;
         const double effect = factor(slowed, task.workKind) * share(task, worker.milliCores);
-        if (effect < minEffect)
-            continue;
         const double worth = effect / double(moveCost(task));
-        if (best == nullptr || worth > bestWorth) {
-            best = &task;
-            bestWorth = worth;
-        }
+        if (effect < minEffect || (best && worth <= bestWorth))
+            continue;
+        const double whole = effect * 1000 / std::max(task.throttlePermille, 1);
+        if (task.throttlePermille > firstThrottle)
+            best = control_step{control_action::throttle, task.task, firstThrottle};
+        else if (task.throttlePermille > secondThrottle)
+            best = control_step{control_action::throttle, task.task, secondThrottle};
+        else if (hasBetterPlace(worker.worker, whole))
+            best = control_step{control_action::move, task.task, 1000};
+        else
+            continue; // moving it would only move the harm
+        bestWorth = worth;
     }
-    if (best == nullptr)
-        return std::nullopt;
-    if (best->throttlePermille > throttledPermille)
-        return control_step{control_action::throttle, best->task, throttledPermille};
-    return control_step{control_action::move, best->task, 1000};
+    return best;
 }
 
 std::optional<control_step> learned_interference::chooseRelease(const observed_worker &worker) const
@@ -149,6 +170,12 @@
 {
     learn(now, worker);
     worker_memory &memory = m_workers[worker.worker];
+    memory.expected = 0;
+    for (const observed_task &task : worker.tasks) {
+        if (task.kind != job_kind::service)
+            memory.expected
+                += pressureOf(task.workKind) * double(task.milliCores) / double(worker.milliCores);
+    }
     const observed_task *worst = nullptr;
     for (const observed_task &task : worker.tasks) {
         const bool isWorse = task.kind == job_kind::service && task.usage
--- a/packages/batch/learned_interference.h
+++ b/packages/batch/learned_interference.h
@@ -13,8 +13,8 @@
 class learned_interference final : public interference_policy
 {
 public:
-    double penalty(const worker_load &load, bool isLatencyCritical, double pressure,
-                   std::int64_t milliCores) const override;
+    double penalty(const worker_id &worker, const worker_load &load, bool isLatencyCritical,
+                   double added) const override;
     double pressureOf(const std::string &workKind) const override;
     std::vector<control_step> observe(instant now, const observed_worker &worker) override;
 
@@ -27,6 +27,7 @@
     {
         std::optional<instant> actedAt; ///< The last step, whose effect may not yet be visible.
         std::optional<instant> calmSince;
+        double expected = 0; ///< Slowdown beyond 1 that the model expects, without throttles.
     };
 
     static shares sharesOf(const observed_worker &worker);
@@ -34,6 +35,7 @@
     double factor(const std::string &slowed, const std::string &cause) const;
     std::optional<control_step> chooseStep(const observed_worker &worker,
                                            const std::string &slowed) const;
+    bool hasBetterPlace(const worker_id &worker, double effect) const;
     std::optional<control_step> chooseRelease(const observed_worker &worker) const;
 
     std::map<pair_key, double> m_factors;
--- a/packages/batch/placer.cpp
+++ b/packages/batch/placer.cpp
@@ -102,8 +102,9 @@
         // Nothing weighs more than not to start a task on a worker that fails what it starts.
         constexpr double asidePenalty = 1e12;
         return (session.health.isAside() ? asidePenalty : 0)
-            + state.policy->penalty(session.load, task.isLatencyCritical, pressure,
-                                    task.size.milliCores);
+            + state.policy->penalty(slot.worker, session.load, task.isLatencyCritical,
+                                    pressure * double(task.size.milliCores)
+                                        / double(slot.capacity.milliCores));
     };
     auto worker = takeProbe(state, task, runtime);
     if (!worker)
--- a/test/correctness/batch_fake_worker.h
+++ b/test/correctness/batch_fake_worker.h
@@ -36,8 +36,9 @@
     reported_state state = reported_state::running;
     instant startedAt;
     instant leaseUntil;
-    duration before{}; ///< Progress at the start, from the checkpoint.
-    duration ended{}; ///< Progress when it ended.
+    duration progress{}; ///< From the checkpoint at the start; throttled tasks progress slower.
+    instant advancedAt;
+    int throttlePermille = 1000;
     checkpoint saved;
     std::string result;
 };
@@ -128,34 +129,39 @@
                 continue;
             const job_truth &truth = m_ledger.truths.at(id.job);
             const instant until = std::min(now, task.leaseUntil);
-            const duration progress = task.before + (until - task.startedAt);
+            task.progress = progressAt(task, until);
+            task.advancedAt = std::max(task.advancedAt, until);
             // Every 5 s of progress the task saves its state.
-            task.saved.number = std::max<std::int64_t>(task.saved.number, progress / 5s);
+            task.saved.number = std::max<std::int64_t>(task.saved.number, task.progress / 5s);
             task.saved.reference = std::to_string(task.saved.number);
             if (failsEverything || truth.alwaysFails) {
                 if (until > task.startedAt + 200ms)
-                    end(task, reported_state::failed, progress, "failed");
-            } else if (truth.spec.kind == job_kind::finite && progress >= truth.length) {
-                end(task, reported_state::done, truth.length, "ok");
+                    end(task, reported_state::failed, "failed");
+            } else if (truth.spec.kind == job_kind::finite && task.progress >= truth.length) {
+                end(task, reported_state::done, "ok");
                 ++m_ledger.truths.at(id.job).completions;
             } else if (now >= task.leaseUntil) {
-                end(task, reported_state::stopped, progress, "lease expired");
+                end(task, reported_state::stopped, "lease expired");
             }
         }
     }
 
 private:
+    static duration progressAt(const fake_task &task, instant when)
+    {
+        return task.progress
+            + std::max(when - task.advancedAt, duration::zero()) * task.throttlePermille / 1000;
+    }
+
     bool isOver(const task_id &id, const fake_task &task, instant now) const
     {
         const job_truth &truth = m_ledger.truths.at(id.job);
-        return truth.spec.kind == job_kind::finite
-            && task.before + (now - task.startedAt) >= truth.length;
+        return truth.spec.kind == job_kind::finite && progressAt(task, now) >= truth.length;
     }
 
-    static void end(fake_task &task, reported_state state, duration progress, const char *result)
+    static void end(fake_task &task, reported_state state, const char *result)
     {
         task.state = state;
-        task.ended = progress;
         task.result = result;
     }
 
@@ -179,9 +185,9 @@
             seen(id) = std::max(seen(id), id.attempt);
             const auto [at, isNew] = tasks.try_emplace(id);
             if (isNew)
-                end(at->second, reported_state::stopped, {}, "stopped before its start");
+                end(at->second, reported_state::stopped, "stopped before its start");
             else if (at->second.state == reported_state::running)
-                end(at->second, reported_state::stopped, at->second.before, "stopped");
+                end(at->second, reported_state::stopped, "stopped");
         }
         for (const task_id &id : request.checkpoint) {
             const auto at = tasks.find(id);
@@ -193,6 +199,13 @@
             if (at != tasks.end() && at->second.state != reported_state::running)
                 tasks.erase(at);
         }
+        for (auto &[id, task] : tasks)
+            task.throttlePermille = 1000;
+        for (const throttle_command &throttle : request.throttle) {
+            const auto at = tasks.find(throttle.task);
+            if (at != tasks.end())
+                at->second.throttlePermille = throttle.permille;
+        }
         if (!isFresh)
             return;
         const auto length = duration(std::int64_t(double(request.leaseMs) * 1000 * clockRate));
@@ -242,7 +255,8 @@
         task.size = start.size;
         task.startedAt = now;
         task.leaseUntil = leaseUntil;
-        task.before = start.from.number * 5s;
+        task.progress = start.from.number * 5s;
+        task.advancedAt = now;
         task.saved = start.from;
         tasks[start.task] = task;
     }
--- a/test/correctness/batch_world.h
+++ b/test/correctness/batch_world.h
@@ -22,6 +22,7 @@
     int workersInRack = 2;
     resources capacity{4000, 8000, 1};
     std::uint64_t seed = 1;
+    interference_control control = interference_control::learned;
 };
 
 struct fake_host
@@ -48,7 +49,8 @@
     std::vector<std::unique_ptr<fake_worker>> workers;
     std::vector<fake_host> hosts;
     std::map<caller_token, std::pair<job_id, job_reply>> replies;
-    std::map<job_id, std::vector<job_outcome>> outcomes;
+    std::map<job_id, std::vector<job_outcome>> outcomes; ///< Of submissions only.
+    std::set<caller_token> submissions;
     double lossRate = 0; ///< Share of sync answers and requests that are lost.
     double lostAnswerRate = 0; ///< Share of store answers lost after the operation took effect.
     double lateRate = 0; ///< Share of messages that arrive long after the sender gave up.
@@ -58,6 +60,7 @@
 
     explicit world(const world_options &options)
         : random(stableHash("world", options.seed))
+        , m_control(options.control)
     {
         ledger.stored = [this](const task_id &id) { return stored(id); };
         for (int i = 0; i < options.workers; ++i) {
@@ -103,7 +106,7 @@
         host.lease = 0;
         host.pausedUntil = instant();
         host.core = std::make_unique<shard_core>(
-            shard_settings{host.id, host.life, {data_centre_id{"dakar-1"}, 0}, 1});
+            shard_settings{host.id, host.life, {data_centre_id{"dakar-1"}, 0}, 1, m_control});
         shard_hosts all;
         for (const fake_host &h : hosts)
             all.hosts.push_back(h.id);
@@ -148,6 +151,7 @@
         truth.alwaysFails = alwaysFails;
         const caller_token caller = ++m_nextCaller;
         replies[caller].first = spec.id;
+        submissions.insert(caller);
         deliver(i, hosts[i].life, shard_submit{caller, spec, {1, 2, 3}});
         return caller;
     }
@@ -310,7 +314,8 @@
     {
         auto &[job, stored] = replies[reply.caller];
         stored = reply.reply;
-        outcomes[job].push_back(reply.reply.outcome);
+        if (submissions.count(reply.caller) != 0)
+            outcomes[job].push_back(reply.reply.outcome);
     }
 
     void carryOut(std::size_t i, const shard_log &log)
@@ -324,6 +329,7 @@
 
     std::priority_queue<scheduled> m_queue;
     std::uint64_t m_order = 0;
+    interference_control m_control;
     caller_token m_nextCaller = 0;
 };
 
--- a/test/failure/batch_authority_test.cpp
+++ b/test/failure/batch_authority_test.cpp
@@ -2,6 +2,7 @@
 // lapse before the owner key is read again, an hour without the store, lost answers, truthful
 // refusals, and no second start of a job whose worker a former owner may still command.
 
+#include "batch/ownership.h"
 #include "correctness/batch_world.h"
 
 #include <gtest/gtest.h>
@@ -76,6 +77,22 @@
     EXPECT_EQ(w.store.writes - before, 1);
 }
 
+TEST(Takeover, HostsThatSeeTheKeyMissingAtOnceTryOneAfterTheOther)
+{
+    const std::vector<host_id> hosts{host_id{"entry-0"}, host_id{"entry-1"}, host_id{"entry-2"}};
+    const instant now = instant() + 1s;
+    std::set<instant> tries;
+    for (const host_id &host : hosts) {
+        ownership candidate(host, 1, {data_centre_id{"dakar-1"}, 0});
+        candidate.setHosts(hosts);
+        candidate.setSession({1, now + 5s});
+        ASSERT_TRUE(candidate.nextCall(now));
+        (void)candidate.handleResult(now, store_reply{});
+        tries.insert(candidate.due(now));
+    }
+    EXPECT_EQ(tries, (std::set<instant>{now, now + 300ms, now + 600ms}));
+}
+
 TEST(Pause, NothingIsSentBeforeTheOwnerKeyIsReadAgain)
 {
     shard_core core({host_id{"entry-0"}, 1, {data_centre_id{"dakar-1"}, 0}, 1});
@@ -111,15 +128,47 @@
     handle(shard_tick{});
     run(true);
     ASSERT_EQ(synced.size(), 1U);
-    // 20 s pass unnoticed, longer than any lease; another host has taken over meanwhile.
-    now += 20s;
     handle(shard_sync_result{worker_id{"worker-0"}, core.status().epoch, 2,
-                             tl::unexpected(sync_error{})});
+                             sync_report{worker_id{"worker-0"}, 1, core.status().epoch, 2, {}}});
+    run(true);
+    // 20 s pass unnoticed; the next renewal is long due.
+    now += 20s;
     handle(shard_tick{});
     run(false);
     EXPECT_TRUE(synced.empty()) << "sent to a worker before the owner key was read";
 }
 
+TEST(Pause, AFormerOwnersCommitIsRefusedByTheStore)
+{
+    shard_core core({host_id{"entry-0"}, 1, {data_centre_id{"dakar-1"}, 0}, 1});
+    fake_store store;
+    const instant now = instant() + 1s;
+    const std::int64_t lease = store.apply(store_lease_grant{5}, now).lease;
+    std::vector<shard_reply> replies;
+    std::function<void(const decltype(shard_event::what) &)> handle = [&](const auto &what) {
+        for (const shard_action &action : core.handle({now, what})) {
+            if (const auto *call = std::get_if<shard_store_call>(&action))
+                handle(shard_store_result{call->token, store.apply(call->operation, now)});
+            if (const auto *reply = std::get_if<shard_reply>(&action))
+                replies.push_back(*reply);
+        }
+    };
+    handle(shard_hosts{{host_id{"entry-0"}}});
+    handle(shard_workers{{{worker_id{"worker-0"}, rack_id{"r"}, {4000, 8000, 0}, false}}});
+    handle(shard_session{lease, now + 5s});
+    ASSERT_TRUE(core.status().isOwner);
+    // The store ends the lease early, and another host has the key before this one notices.
+    store.apply(store_lease_revocation{lease}, now);
+    store_transaction takeover;
+    takeover.puts.push_back({"shard/dakar-1/0/owner", "entry-1.7", 0});
+    store.apply(takeover, now);
+    handle(shard_submit{1, finiteJob("cert-1"), {}});
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_EQ(replies[0].reply.outcome, job_outcome::not_accepted);
+    EXPECT_FALSE(core.status().isOwner);
+    EXPECT_EQ(store.find("shard/dakar-1/0/commit"), nullptr);
+}
+
 TEST(Pause, AFormerOwnerCannotWriteNorCommand)
 {
     world w{world_options()};
