--- a/packages/batch/ownership.cpp
+++ b/packages/batch/ownership.cpp
@@ -226,7 +226,13 @@
 std::string ownership::handleOwner(instant now, const store_reply &reply)
 {
     const store_entry *entry = findKey(reply.entries, m_keys.owner);
+    const bool wasClaiming = m_phase == phase::claiming;
     m_phase = phase::watching;
+    if (entry == nullptr && wasClaiming) {
+        // Refused without another owner: the store no longer knows the lease. The session notices.
+        retry(now);
+        return std::string();
+    }
     if (entry == nullptr) {
         m_otherOwner.reset();
         if (!m_missingSince)
