--- a/test/failure/batch_authority_test.cpp
+++ b/test/failure/batch_authority_test.cpp
@@ -300,3 +300,18 @@
     }
     EXPECT_EQ(w.ledger.violations, none);
 }
+
+TEST(RestartedWorker, ItsTasksAreStartedAgainWithoutWaitingForALease)
+{
+    world w{world_options()};
+    const std::size_t i = awaitOwner(w);
+    for (int k = 0; k < 8; ++k)
+        w.submit(i, finiteJob("cert-" + std::to_string(k), 1000), 100s);
+    w.runFor(20s);
+    EXPECT_EQ(running(w), 8U);
+    for (const auto &worker : w.workers)
+        worker->restart();
+    w.runFor(4s);
+    EXPECT_EQ(running(w), 8U);
+    EXPECT_EQ(w.ledger.violations, none);
+}
