--- a/packages/batch/job_table.h
+++ b/packages/batch/job_table.h
@@ -42,7 +42,8 @@
     instant stopAt; ///< When a removal stops waiting for the checkpoint.
     instant waitingSince;
     instant notBefore; ///< A waiting task is not placed before this time.
-    std::set<worker_id> failedOn; ///< Workers to avoid; cleared when the attempt after succeeds.
+    std::set<worker_id> failedOn; ///< Workers to avoid, since the task failed there.
+    std::set<worker_id> chargedEarly; ///< Workers whose latest failure was charged to the job.
     int throttlePermille = 1000;
     std::optional<task_usage> usage;
 };
@@ -52,6 +53,7 @@
 {
     job_record record;
     int segment = 0;
+    std::string workKind; ///< See `workKindOf`.
     std::int64_t touchedAt = 0; ///< Sequence of the commit that holds its last change.
     std::int64_t submittedAt = 0; ///< Sequence of the commit that holds its submission.
     std::vector<task_runtime> runtime;
--- a/packages/batch/placement.cpp
+++ b/packages/batch/placement.cpp
@@ -1,6 +1,7 @@
 #include "placement.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace crocuswind {
@@ -37,6 +38,8 @@
             replicas = at == m_request.replicasByRack->end() ? 0 : at->second;
         }
         const double penalty = m_request.penalty ? m_request.penalty(slot) : 0;
+        if (penalty == std::numeric_limits<double>::infinity())
+            return true;
         const std::int64_t left = free.milliCores - m_request.size.milliCores;
         const rank candidate{isAvoided, replicas, penalty,
                              m_request.isLatencyCritical ? -left : left, slot.worker};
@@ -94,7 +97,8 @@
 
 std::optional<std::pair<worker_id, std::vector<task_key>>>
 chooseVictims(const commitment_book &book, const resources &size,
-              const std::function<std::optional<std::int64_t>(const task_key &)> &cost)
+              const std::function<std::optional<std::int64_t>(const task_key &)> &cost,
+              const std::function<std::int64_t(const worker_slot &)> &slotCost)
 {
     std::optional<std::pair<worker_id, std::vector<task_key>>> best;
     std::int64_t bestCost = 0;
@@ -110,7 +114,7 @@
         std::sort(candidates.begin(), candidates.end());
         resources free = slot.free();
         std::vector<task_key> victims;
-        std::int64_t total = 0;
+        std::int64_t total = slotCost(slot);
         for (const auto &[c, task] : candidates) {
             if (fitsInto(size, free))
                 break;
@@ -130,7 +134,6 @@
             free = without;
             at = victims.erase(at);
         }
-        total += std::int64_t(victims.size());
         if (!best || total < bestCost) {
             bestCost = total;
             best.emplace(worker, std::move(victims));
--- a/packages/batch/worker_health.h
+++ b/packages/batch/worker_health.h
@@ -21,8 +21,9 @@
 class worker_health
 {
 public:
-    /// Notes that an attempt failed on the worker.
-    void noteFailure(instant now, const task_key &task);
+    /// Notes that an attempt that was started at \p startedAt failed on the worker. While the
+    /// worker is aside, only the failure of a probe counts.
+    void noteFailure(instant now, const task_key &task, instant startedAt);
 
     /// Notes that a task started at \p startedAt ended well or has run for `startedWellAfter`.
     /// Ends the streak of failures if the task was started after the streak began.
@@ -35,8 +36,8 @@
     /// Returns when `isFailing` becomes true without a further event, or `instant::max()`.
     instant failingAt() const;
 
-    /// Returns true if only tasks of one job have failed, and at least \p count times.
-    bool isFaultOfOneJob(std::size_t count) const;
+    /// Returns how often the task failed in the streak.
+    std::size_t failuresOf(const task_key &task) const;
 
     /// Puts the worker aside; the failures of the streak are dropped. The interval to the next
     /// probe doubles each time that a probe fails.
