--- a/packages/cluster/membership_types.h
+++ b/packages/cluster/membership_types.h
@@ -21,6 +21,9 @@
 /// grows.
 constexpr std::size_t maxDigestMembers = 16;
 
+/// Largest number of members in a digest within a data centre, where messages are more frequent.
+constexpr std::size_t maxLocalDigestMembers = 8;
+
 /// Largest number of services whose expected wait a member reports.
 constexpr std::size_t maxReportedWaits = 16;
 
@@ -80,11 +83,12 @@
     member_digest digest;
 };
 
-/// Asks the receiver to probe another host and to report its answer under this sequence.
+/// Asks the receiver to probe another host and to report its answer under this sequence. The
+/// sender's report of the target comes along, so that the target can refute a suspicion.
 struct membership_indirect_probe
 {
     std::int64_t sequence = 0;
-    host_id target;
+    member_report target;
 };
 
 /// Any message between the membership cores.
--- a/packages/cluster/session_core.h
+++ b/packages/cluster/session_core.h
@@ -13,6 +13,8 @@
 
 namespace crocuswind {
 
+struct seat_entry;
+
 /// The settings of `session_core`.
 struct session_settings
 {
@@ -100,6 +102,86 @@
 
     /// Returns the state of the seat as a sentence for operators.
     std::string status(instant now) const;
+
+private:
+    /// The lease and the seat each have at most one store call in flight.
+    struct pending_call
+    {
+        enum class purpose { none, grant, renew, read_seats, claim, release, revoke };
+
+        purpose what = purpose::none;
+        std::int64_t token = 0;
+        instant sent;
+        instant deadline;
+    };
+
+    /// A seat that is held, or may be held because the answer to its claim was lost.
+    struct held_seat
+    {
+        int seat = 0;
+        std::int64_t epoch = 0;
+        std::int64_t lease = 0;
+        bool needsQuarantine = false; ///< Requests of the former holder may still run.
+        host_id former;
+        instant claimed; ///< When the store's answer showed the claim.
+        std::set<host_id> acknowledged; ///< Peers that have learned of the claim.
+        instant lastAcknowledged; ///< When the last of them did.
+    };
+
+    void on(const cluster_tick &);
+    void on(const cluster_store_answer &e);
+    void on(const session_pause_detected &);
+    void on(const cluster_peer_heard &e);
+    void on(const cluster_local_peers &e);
+    void on(const session_release &);
+
+    void call(pending_call *slot, pending_call::purpose what, store_operation operation);
+    void onLeaseAnswer(const pending_call &done, const store_result &result);
+    void onSeatAnswer(const pending_call &done, const store_result &result);
+    void onSeatsRead(const store_reply &reply);
+    void claim(const seat_entry &entry);
+    void adopt(held_seat seat);
+    void loseSeat(const std::string &reason);
+    void loseLease(const std::string &reason);
+    void startCalls();
+    void startReleaseCalls();
+    bool isQuarantineOver() const;
+    std::optional<instant> quarantineEnd() const;
+    bool isHearingValid() const;
+    instant usableUntil() const;
+    void reportUse();
+    instant nextWake() const;
+    duration backoff(int failures) const;
+
+    session_settings m_settings;
+    instant m_now;
+    std::vector<action> m_actions;
+    std::optional<instant> m_plannedWake;
+    std::int64_t m_lastToken = 0;
+
+    pending_call m_leaseCall;
+    std::int64_t m_lease = 0;
+    instant m_leaseUntil;
+    instant m_nextLeaseCall;
+    int m_leaseFailures = 0; ///< In sequence.
+    bool m_isStoreReachable = false;
+
+    pending_call m_seatCall;
+    instant m_nextSeatCall;
+    std::optional<held_seat> m_pending; ///< Claim without an answer so far.
+    std::optional<held_seat> m_held;
+    std::optional<int> m_cleanSeat; ///< Last seat whose quarantine this process has waited out.
+    std::string m_seatProblem = "no seat was claimed yet";
+
+    std::set<host_id> m_localPeers;
+    std::optional<instant> m_heard; ///< When the latest answered probe was sent.
+    std::optional<instant> m_unconfirmedSince; ///< Woke from a pause and has no proof of the seat.
+    bool m_hasStoreFailedSinceWake = false;
+
+    bool m_isGranted = false;
+    instant m_grantedUntil;
+    std::optional<instant> m_releaseDeadline; ///< Set while releasing.
+    bool m_isReleased = false;
 };
 
 } // namespace crocuswind
