--- a/packages/cluster/config_core.cpp
+++ b/packages/cluster/config_core.cpp
@@ -265,9 +265,11 @@
 {
     if (m_current || m_now >= *m_started + m_settings.startWindow)
         return true;
-    if (!m_hasStoreAnswered || m_peers.empty())
-        return false;
-    return std::all_of(m_peers.begin(), m_peers.end(),
+    // A peer with revision 0 has none, or has only introduced itself so far.
+    const bool hasAnyTold = std::any_of(m_peers.begin(), m_peers.end(),
+                                        [](const auto &p) { return p.second.revision > 0; });
+    return m_hasStoreAnswered && hasAnyTold
+        && std::all_of(m_peers.begin(), m_peers.end(),
                        [this](const auto &p) { return p.second.revision <= heldRevision(); });
 }
 
