--- a/packages/io/etcd_store.h
+++ b/packages/io/etcd_store.h
@@ -17,7 +17,9 @@
     std::size_t maxAnswerBytes = 2 * 1024 * 1024; ///< Values of 1 MB grow by a third as base64.
     int maxConnections = 8; ///< To each endpoint.
     std::size_t maxQueued = 64; ///< Further operations fail at once with `not_sent`.
-    duration watchSilenceLimit = 600s; ///< A watch without a byte for this long is set up again.
+    /// A watch without a byte for this long is set up again. The store sends progress every 10 min;
+    /// a dead connection is noticed earlier, by TCP keep-alive.
+    duration watchSilenceLimit = 1800s;
     duration minRetryDelay = 200ms; ///< First delay before a broken watch is set up again.
     duration maxRetryDelay = 5s; ///< The delay doubles up to this bound.
     std::shared_ptr<tls_context> tls;
--- a/packages/io/http_client.cpp
+++ b/packages/io/http_client.cpp
@@ -13,6 +13,8 @@
 #include <event2/http.h>
 #include <list>
 #include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
@@ -27,6 +29,23 @@
 // Room beside a piece of a stream for chunk sizes and header.
 constexpr std::size_t streamBufferMargin = 64 * 1024;
 
+// A stream is silent for long, so a dead connection shows only by TCP keep-alive: after 20 s here.
+constexpr int keepAliveSeconds = 5;
+constexpr int keepAliveProbes = 3;
+
+void configureSocket(evutil_socket_t socket, bool isStream)
+{
+    const int on = 1;
+    // Without it, the end of a body may wait for the acknowledgement of the bytes before.
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    if (!isStream)
+        return;
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveSeconds, sizeof(keepAliveSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveSeconds, sizeof(keepAliveSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof(keepAliveProbes));
+}
+
 // A connection whose server has closed it, or has sent bytes that nobody asked for, must not carry
 // another request: the request would end as `no_answer` although it never arrived.
 bool isUsable(evutil_socket_t socket)
@@ -66,6 +85,7 @@
         call_state *current = nullptr;
         ip_endpoint to;
         bool isDisposed = false;
+        bool isConfigured = false;
         instant idleSince;
     };
 
@@ -325,8 +345,14 @@
     static void onOutput(evbuffer *, const evbuffer_cb_info *info, void *argument)
     {
         auto *c = static_cast<connection *>(argument);
-        if (info->n_added > 0 && c->current != nullptr)
-            c->current->bytesSent = true;
+        if (info->n_added == 0 || c->current == nullptr)
+            return;
+        if (!c->isConfigured) {
+            c->isConfigured = true;
+            configureSocket(bufferevent_getfd(evhttp_connection_get_bufferevent(c->wire)),
+                            c->home == nullptr);
+        }
+        c->current->bytesSent = true;
     }
 
     static int onHeader(evhttp_request *, void *argument)
--- a/packages/io/http_server.cpp
+++ b/packages/io/http_server.cpp
@@ -10,6 +10,8 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <set>
 #include <sys/socket.h>
 #include <unordered_map>
@@ -43,6 +45,7 @@
     bufferevent *socket = nullptr;
     instant waitingSince; ///< Accepted, or last answer handed over.
     bool hasRequest = false;
+    bool isConfigured = false;
 };
 
 struct http_responder::state
@@ -127,7 +130,7 @@
         if (settings.tls)
             bufferevent_openssl_set_allow_dirty_shutdown(socket, 1);
         bufferevent_incref(socket);
-        connections[socket] = {socket, loop.now(), false};
+        connections[socket] = {socket, loop.now(), false, false};
         updateListeners();
         if (sweepTimer == 0 || isFull())
             scheduleSweep();
@@ -229,8 +232,13 @@
             state.get());
         event_add(state->closeWatch, nullptr);
         open.insert(state.get());
-        if (const auto found = connections.find(socket); found != connections.end())
+        if (const auto found = connections.find(socket); found != connections.end()) {
+            if (!std::exchange(found->second.isConfigured, true)) {
+                const int on = 1;
+                setsockopt(bufferevent_getfd(socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+            }
             found->second.hasRequest = true;
+        }
         evhttp_connection_set_closecb(connection, &implementation::onClosed, this);
 
         http_responder responder(state);
--- a/packages/protocol/store_bodies.h
+++ b/packages/protocol/store_bodies.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,6 +16,9 @@
 
 namespace crocuswind {
 
+/// Parses JSON that nests at most 16 deep. Returns nothing for anything else.
+std::optional<nlohmann::json> parseBoundedJson(std::string_view text);
+
 /// Encodes bytes as base64 with padding.
 std::string toBase64(std::string_view bytes);
 
@@ -56,7 +60,7 @@
     std::vector<store_change> changes;
 };
 
-/// Writes the request that begins a watch of all keys with \p prefix.
+/// Writes the request that begins a watch of all keys with \p prefix, with progress messages.
 store_call toWatchCall(std::string_view prefix);
 
 /// Reads one message of a watch. Returns a message if it is not what the protocol defines or
--- a/test/failure/io_raw_peer.h
+++ b/test/failure/io_raw_peer.h
@@ -72,8 +72,9 @@
         char bytes[4096];
         while (const std::size_t count = bufferevent_read(socket, bytes, sizeof(bytes)))
             c->received.append(bytes, count);
-        if (c->onBytes)
-            c->onBytes(*c);
+        // A copy, since the function may replace itself.
+        if (const auto handler = c->onBytes)
+            handler(*c);
     }
     static void onEvent(bufferevent *, short what, void *self)
     {
