--- a/packages/io/peer_links.h
+++ b/packages/io/peer_links.h
@@ -70,10 +70,11 @@
     too_large, ///< Nothing was sent: the frame exceeds the bound.
 };
 
-/// Keeps at most one link in use for each pair of hosts. Both ends may dial; if two links to one
-/// peer are up, both ends keep the one that the host with the smaller name dialled and close the
-/// other, which is not reported as down. A newer link from the same side replaces an older one,
-/// since the peer has restarted.
+/// Keeps at most one link in use for each pair of hosts. Both ends may dial. If each has dialled
+/// the other, both keep the link that the host with the smaller name dialled; the other is read for
+/// one more second, closed, and not reported as down. If the peer's process has restarted or has
+/// dialled again, its newer link replaces the older one, which is reported as down and up, since
+/// frames may have been lost.
 class peer_links
 {
 public:
