--- a/packages/io/http_client.cpp
+++ b/packages/io/http_client.cpp
@@ -46,12 +46,16 @@
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof(keepAliveProbes));
 }
 
-// A connection whose server has closed it, or has sent bytes that nobody asked for, must not carry
-// another request: the request would end as `no_answer` although it never arrived.
-bool isUsable(evutil_socket_t socket)
+// A connection whose server has closed it must not carry another request, which would end as
+// `no_answer` although it never arrived. Nor must one on which bytes are left over, since they
+// would be taken for the answer to the next request.
+bool isUsable(evhttp_connection *wire)
 {
+    bufferevent *socket = evhttp_connection_get_bufferevent(wire);
+    if (evbuffer_get_length(bufferevent_get_input(socket)) != 0)
+        return false;
     char byte = 0;
-    const ssize_t count = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t count = recv(bufferevent_getfd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -185,8 +189,7 @@
                 return nullptr;
             connection *c = *idle;
             const bool isWithinLimit = int(p.connections.size()) <= p.limit;
-            if (isWithinLimit
-                && isUsable(bufferevent_getfd(evhttp_connection_get_bufferevent(c->wire))))
+            if (isWithinLimit && isUsable(c->wire))
                 return c;
             dispose(*c);
         }
--- a/test/failure/io_http_test.cpp
+++ b/test/failure/io_http_test.cpp
@@ -159,6 +159,16 @@
     EXPECT_EQ(raw.connections.size(), 2U);
 }
 
+TEST_F(http_test, LeftOverBytesAreNotTheNextAnswer)
+{
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    const std::string stale = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+    raw_server raw(loop, [&](raw_connection &c) { c.send(first + stale); });
+    EXPECT_EQ(exchange(callTo(raw.endpoint)).body, "first");
+    EXPECT_EQ(exchange(callTo(raw.endpoint)).body, "first");
+    EXPECT_EQ(raw.connections.size(), 2U);
+}
+
 TEST_F(http_test, PoolLimitIsKeptAndTheQueueIsBounded)
 {
     std::vector<http_responder> held;
