--- a/packages/io/http_client.cpp
+++ b/packages/io/http_client.cpp
@@ -4,17 +4,13 @@
 #include "libevent_time.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <deque>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/bufferevent_ssl.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <list>
 #include <map>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
@@ -29,36 +25,6 @@
 // Room beside a piece of a stream for chunk sizes and header.
 constexpr std::size_t streamBufferMargin = 64 * 1024;
 
-// A stream is silent for long, so a dead connection shows only by TCP keep-alive: after 20 s here.
-constexpr int keepAliveSeconds = 5;
-constexpr int keepAliveProbes = 3;
-
-void configureSocket(evutil_socket_t socket, bool isStream)
-{
-    const int on = 1;
-    // Without it, the end of a body may wait for the acknowledgement of the bytes before.
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    if (!isStream)
-        return;
-    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveSeconds, sizeof(keepAliveSeconds));
-    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveSeconds, sizeof(keepAliveSeconds));
-    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof(keepAliveProbes));
-}
-
-// A connection whose server has closed it must not carry another request, which would end as
-// `no_answer` although it never arrived. Nor must one on which bytes are left over, since they
-// would be taken for the answer to the next request.
-bool isUsable(evhttp_connection *wire)
-{
-    bufferevent *socket = evhttp_connection_get_bufferevent(wire);
-    if (evbuffer_get_length(bufferevent_get_input(socket)) != 0)
-        return false;
-    char byte = 0;
-    const ssize_t count = recv(bufferevent_getfd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 } // namespace
 
 struct http_client::implementation
@@ -197,18 +163,7 @@
 
     connection *connect(const ip_endpoint &to, pool *home)
     {
-        bufferevent *socket = settings.tls
-            ? bufferevent_openssl_socket_new(loop.base(), -1,
-                                             settings.tls->newClientSession(to.address),
-                                             BUFFEREVENT_SSL_CONNECTING, BEV_OPT_CLOSE_ON_FREE)
-            : bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-        if (socket == nullptr)
-            return nullptr;
-        if (settings.tls)
-            bufferevent_openssl_set_allow_dirty_shutdown(socket, 1);
-        // Without a resolver and with a numeric address, libevent asks no name service.
-        evhttp_connection *wire = evhttp_connection_base_bufferevent_new(
-            loop.base(), nullptr, socket, to.address.c_str(), to.port);
+        evhttp_connection *wire = newClientConnection(loop, settings, to);
         if (wire == nullptr)
             return nullptr;
         auto owned = std::make_unique<connection>();
@@ -217,11 +172,9 @@
         c.home = home;
         c.to = to;
         c.wire = wire;
-        // EVHTTP_CON_READ_ON_WRITE_ERROR stays unset: with libevent 2.1.12 an answer that is cut
-        // off in its body is then not reported before the deadline.
-        evhttp_connection_set_max_headers_size(wire, ev_ssize_t(settings.maxHeaderBytes));
         evhttp_connection_set_closecb(wire, &implementation::onClosed, &c);
-        evbuffer_add_cb(bufferevent_get_output(socket), &implementation::onOutput, &c);
+        evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(wire)),
+                        &implementation::onOutput, &c);
         if (home != nullptr)
             home->connections.push_back(&c);
         connections.emplace(&c, std::move(owned));
@@ -250,11 +203,7 @@
         evhttp_request_set_header_cb(request, &implementation::onHeader);
         if (isStream)
             evhttp_request_set_chunked_cb(request, &implementation::onPiece);
-        evkeyvalq *headers = evhttp_request_get_output_headers(request);
-        evhttp_add_header(headers, "Host", toString(call.to).c_str());
-        for (const http_header &h : call.headers)
-            evhttp_add_header(headers, h.name.c_str(), h.value.c_str());
-        evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
+        fillRequest(request, call);
 
         const instant connected = std::min(call.deadline, now + settings.connectLimit);
         state.timer = loop.callAt(connected, [this, id = state.id] { onTimer(id); });
@@ -354,8 +303,7 @@
             return;
         if (!c->isConfigured) {
             c->isConfigured = true;
-            configureSocket(bufferevent_getfd(evhttp_connection_get_bufferevent(c->wire)),
-                            c->home == nullptr);
+            configureSocket(c->wire, c->home == nullptr);
         }
         c->current->bytesSent = true;
     }
--- a/packages/io/http_wire.cpp
+++ b/packages/io/http_wire.cpp
@@ -1,11 +1,25 @@
 #include "http_wire.h"
 
+#include <cerrno>
 #include <charconv>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/bufferevent_ssl.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace crocuswind {
 
+namespace {
+
+// A stream is silent for long, so a dead connection shows only by TCP keep-alive: after 20 s here.
+constexpr int keepAliveSeconds = 5;
+constexpr int keepAliveProbes = 3;
+
+} // namespace
+
 std::string lowerCase(std::string_view text)
 {
     std::string lower(text);
@@ -78,4 +92,59 @@
     return endpoint.port != 0 && parseEndpoint(toString(endpoint)).has_value();
 }
 
+evhttp_connection *newClientConnection(event_loop &loop, const http_client_settings &settings,
+                                       const ip_endpoint &to)
+{
+    bufferevent *socket = settings.tls
+        ? bufferevent_openssl_socket_new(loop.base(), -1,
+                                         settings.tls->newClientSession(to.address),
+                                         BUFFEREVENT_SSL_CONNECTING, BEV_OPT_CLOSE_ON_FREE)
+        : bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    if (socket == nullptr)
+        return nullptr;
+    if (settings.tls)
+        bufferevent_openssl_set_allow_dirty_shutdown(socket, 1);
+    // Without a resolver and with a numeric address, libevent asks no name service.
+    evhttp_connection *wire = evhttp_connection_base_bufferevent_new(loop.base(), nullptr, socket,
+                                                                     to.address.c_str(), to.port);
+    // EVHTTP_CON_READ_ON_WRITE_ERROR stays unset: with libevent 2.1.12 an answer that is cut off in
+    // its body is then not reported before the deadline.
+    if (wire != nullptr)
+        evhttp_connection_set_max_headers_size(wire, ev_ssize_t(settings.maxHeaderBytes));
+    return wire;
+}
+
+void configureSocket(evhttp_connection *wire, bool isStream)
+{
+    const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(wire));
+    const int on = 1;
+    // Without it, the end of a body may wait for the acknowledgement of the bytes before.
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    if (!isStream)
+        return;
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveSeconds, sizeof(keepAliveSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveSeconds, sizeof(keepAliveSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof(keepAliveProbes));
+}
+
+bool isUsable(evhttp_connection *wire)
+{
+    bufferevent *socket = evhttp_connection_get_bufferevent(wire);
+    if (evbuffer_get_length(bufferevent_get_input(socket)) != 0)
+        return false;
+    char byte = 0;
+    const ssize_t count = recv(bufferevent_getfd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void fillRequest(evhttp_request *request, const http_call &call)
+{
+    evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", toString(call.to).c_str());
+    for (const http_header &h : call.headers)
+        evhttp_add_header(headers, h.name.c_str(), h.value.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
+}
+
 } // namespace crocuswind
--- a/packages/io/http_wire.h
+++ b/packages/io/http_wire.h
@@ -37,6 +37,21 @@
 /// Returns whether the address is an IP address in numbers and the port is not 0.
 bool isNumericEndpoint(const ip_endpoint &endpoint);
 
+/// Creates a connection that dials with its first request. Returns null if the system refuses.
+evhttp_connection *newClientConnection(event_loop &loop, const http_client_settings &settings,
+                                       const ip_endpoint &to);
+
+/// Sets the options of a connected socket.
+void configureSocket(evhttp_connection *wire, bool isStream);
+
+/// Returns whether an idle connection may carry a request. If its server has closed it, the request
+/// would end as `no_answer` although it never arrived; bytes that are left over would be taken for
+/// the answer to it.
+bool isUsable(evhttp_connection *wire);
+
+/// Sets header fields and body of a request.
+void fillRequest(evhttp_request *request, const http_call &call);
+
 } // namespace crocuswind
 
 #endif
