--- a/packages/protocol/protocol.h
+++ b/packages/protocol/protocol.h
@@ -1,4 +1,5 @@
-/// The public header of the protocol library: how values travel as text and bytes.
+/// The public header of the protocol library: formats of files, bodies and messages that the parts
+/// exchange. It parses and formats text and bytes and has no I/O.
 #ifndef CROCUSWIND_PROTOCOL_PROTOCOL_H
 #define CROCUSWIND_PROTOCOL_PROTOCOL_H
 
@@ -6,5 +7,6 @@
 #include "metrics_text.h"
 #include "span_bodies.h"
 #include "store_bodies.h"
+#include "worker_bodies.h"
 
 #endif
