--- a/packages/protocol/protocol.h
+++ b/packages/protocol/protocol.h
@@ -1,8 +1,9 @@
-/// The public header of the protocol library: formats of files and bodies that the parts exchange.
-/// It parses and formats text and bytes and has no I/O.
+/// The public header of the protocol library: how values travel as text and bytes, in files and in
+/// the bodies of the usual protocols. It has no I/O.
 #ifndef CROCUSWIND_PROTOCOL_PROTOCOL_H
 #define CROCUSWIND_PROTOCOL_PROTOCOL_H
 
+#include "worker_bodies.h"
 #include "workload_checks.h"
 #include "workload_file.h"
 
