--- a/packages/protocol/protocol.h
+++ b/packages/protocol/protocol.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSWIND_PROTOCOL_PROTOCOL_H
 #define CROCUSWIND_PROTOCOL_PROTOCOL_H
 
+#include "caller_bodies.h"
 #include "host_list_body.h"
 #include "metrics_text.h"
 #include "span_bodies.h"
--- a/packages/protocol/workload_file.cpp
+++ b/packages/protocol/workload_file.cpp
@@ -20,6 +20,9 @@
 constexpr workload_bounds quotaMemoryMb{1, 4LL * 1024 * 1024 * 1024};
 constexpr workload_bounds quotaAccelerators{0, 100 * 1000};
 
+/// A job's record is one part of a store value; more replicas would fill that value.
+constexpr std::int64_t maxWorkloadReplicas = 256;
+
 /// An identifier expires after 10 min, so a request cannot be allowed more.
 constexpr workload_bounds requestMs{1, 10 * 60 * 1000};
 
@@ -30,7 +33,7 @@
     c.size.milliCores = section.thousandths("cores", taskMilliCores);
     c.size.memoryMb = section.number("memory_mb", taskMemoryMb, std::nullopt);
     c.size.accelerators = section.number("accelerators", taskAccelerators, 0);
-    c.replicas = int(section.number("replicas", {1, 10000}, 1));
+    c.replicas = int(section.number("replicas", {1, maxWorkloadReplicas}, 1));
     c.backoffMs = section.number("backoff_ms", {0, 60 * 60 * 1000}, 50);
     c.maxNeighbourSlowdownPercent
         = int(section.number("max_neighbour_slowdown_percent", {0, 100}, 100));
@@ -74,16 +77,15 @@
     j.common.urgency = section.choice("urgency", {"urgent", "batch"}, 1) == 0
         ? workload_urgency::urgent
         : workload_urgency::batch;
-    const std::size_t kind = section.choice("kind", {"finite", "until_cancelled"}, std::nullopt);
-    j.kind = kind == 0 ? workload_job_kind::finite : workload_job_kind::until_cancelled;
+    const std::size_t kind = section.choice("kind", {"finite", "continuous"}, std::nullopt);
+    j.kind = kind == 0 ? workload_job_kind::finite : workload_job_kind::continuous;
     j.common.deadlineMs = section.number("deadline_ms", {1, 30 * dayMs}, 0);
     j.runMs = section.number("run_ms", {1, 30 * dayMs}, 0);
     if (j.kind == workload_job_kind::finite && !section.has("run_ms"))
         section.report("run_ms", "'run_ms' is missing; finite jobs give their expected run time");
     for (const char *key : {"run_ms", "deadline_ms"}) {
         if (kind == 1 && section.has(key))
-            section.report(key,
-                           fmt::format("'{}' does not apply to kind = \"until_cancelled\"", key));
+            section.report(key, fmt::format("'{}' does not apply to kind = \"continuous\"", key));
     }
     if (j.kind == workload_job_kind::finite && j.common.deadlineMs > 0
         && j.runMs > j.common.deadlineMs)
@@ -167,7 +169,7 @@
 
 std::string_view toString(workload_job_kind value)
 {
-    return value == workload_job_kind::finite ? "finite" : "until_cancelled";
+    return value == workload_job_kind::finite ? "finite" : "continuous";
 }
 
 std::string coresText(std::int64_t milliCores)
--- a/packages/protocol/workload_file.h
+++ b/packages/protocol/workload_file.h
@@ -16,8 +16,8 @@
 /// How urgent work is. Requests are `urgent` or `normal`; jobs are `urgent` or `batch`.
 enum class workload_urgency { urgent, normal, batch };
 
-/// Whether a job ends by itself.
-enum class workload_job_kind { finite, until_cancelled };
+/// Whether a job ends by itself; continuous jobs run until they are cancelled.
+enum class workload_job_kind { finite, continuous };
 
 /// What one replica occupies on a worker.
 struct workload_size
--- a/test/error/protocol_workload_file_test.cpp
+++ b/test/error/protocol_workload_file_test.cpp
@@ -102,7 +102,7 @@
         {"team = 1\n", "a.toml:1:1: 'team' must be a section [team.NAME]\n"},
         {"[team]\nlab = 1\n", "a.toml:2:1: 'lab' must stand in a section [team.NAME]\n"},
         {service + "replicas = 0\n",
-         "a.toml:9:12: [service.s]: 'replicas' is 0 and must be from 1 to 10000\n"},
+         "a.toml:9:12: [service.s]: 'replicas' is 0 and must be from 1 to 256\n"},
         {service + "replicas = 9\n",
          "a.toml:1:1: [team.lab]: the team's services are above its quota: 9 cores of 8\n"},
         {service + "repeatable = false\nattempts = 2\n",
@@ -122,9 +122,9 @@
          "a.toml:6:11: [service.s]: 'urgency' must be one of \"urgent\", \"normal\"\n"},
         {team + "[service.s]\nteam = \"lap\"\nurgency = \"normal\"\ncores = 1\nmemory_mb = 1\n",
          "a.toml:4:1: [service.s]: no file declares the team 'lap'; did you mean 'lab'?\n"},
-        {team + "[job.j]\nteam = \"lab\"\ncores = 1\nmemory_mb = 1\nkind = \"until_cancelled\"\n"
+        {team + "[job.j]\nteam = \"lab\"\ncores = 1\nmemory_mb = 1\nkind = \"continuous\"\n"
              + "run_ms = 5\n",
-         "a.toml:9:10: [job.j]: 'run_ms' does not apply to kind = \"until_cancelled\"\n"},
+         "a.toml:9:10: [job.j]: 'run_ms' does not apply to kind = \"continuous\"\n"},
     };
     for (const auto &[text, expected] : table)
         EXPECT_EQ(findingsOf(text), expected) << text;
@@ -145,7 +145,7 @@
         {{"a.toml", "[team.lab]\ncores = 8\nmemory_mb = 0\n"},
          {"b.toml",
           "[service.s]\nteam = \"lab\"\nurgency = \"normal\"\ncores = 1\nmemory_mb = 1\n"
-          "size = 3\n[job.j]\nteam = \"market\"\nkind = \"until_cancelled\"\ncores = 1\n"
+          "size = 3\n[job.j]\nteam = \"market\"\nkind = \"continuous\"\ncores = 1\n"
           "memory_mb = 1\n"},
          {"c.toml", "[team.lab]\ncores = 8\nmemory_mb = 1\n"}});
     ASSERT_FALSE(set);
