Add the command line: requests, jobs, configuration, status and load

Each setting is a flag and an environment variable. Exit statuses tell apart what was done, failed, was refused and is unknown; an unknown publication can be repeated under its identifier.

--- /dev/null
+++ b/packages/crocuswind/config_commands.h
@@ -0,0 +1,14 @@
+/// Defines the commands for the configuration: `check`, `publish`, `history` and `rollback`.
+#ifndef CROCUSWIND_CROCUSWIND_CONFIG_COMMANDS_H
+#define CROCUSWIND_CROCUSWIND_CONFIG_COMMANDS_H
+
+#include "command.h"
+
+namespace crocuswind {
+
+/// Adds the commands to \p app; the one that runs sets \p status.
+void addConfigCommands(CLI::App &app, exit_status &status);
+
+} // namespace crocuswind
+
+#endif
--- /dev/null
+++ b/packages/crocuswind/load_run.h
@@ -0,0 +1,81 @@
+/// Defines how `crocuswind load` sends its plan and collects the outcomes.
+#ifndef CROCUSWIND_CROCUSWIND_LOAD_RUN_H
+#define CROCUSWIND_CROCUSWIND_LOAD_RUN_H
+
+#include "command.h"
+#include "load_plan.h"
+#include "load_report.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace crocuswind {
+
+/// Settings of a run beside the mix.
+struct load_run_settings
+{
+    std::vector<ip_endpoint> entries; ///< Requests go round them.
+    int connections = 512; ///< Most connections to each entry host.
+    std::int64_t jobWaitMs = 30000; ///< Longest wait for jobs after the last arrival.
+    bool checksAnswers = false; ///< Answers must hold the request's payload.
+    bool isQuiet = false; ///< No progress lines.
+};
+
+/// One run. Times are those of the loop.
+class load_run
+{
+public:
+    load_run(event_loop &loop, const load_mix &mix, load_run_settings settings);
+
+    /// Runs the whole load; progress goes to standard error once a second.
+    load_report run();
+
+private:
+    struct open_request
+    {
+        planned_request plan;
+        instant intended;
+        std::string id; ///< Of an unrepeatable request.
+        std::string payload;
+        std::size_t tries = 0; ///< Entry hosts that could not be connected to.
+    };
+
+    using request_pointer = std::shared_ptr<open_request>;
+
+    void sendNext();
+    void startRequest(const planned_request &plan, instant intended);
+    void fetchIdentifier(const request_pointer &r);
+    void sendRequest(const request_pointer &r);
+    void onRequestResult(const request_pointer &r, const http_result &result);
+    void startJob(const planned_job &plan);
+    void sendJob(const job_id &id, const std::string &body, int triesLeft);
+    void askUnknown();
+    void readListings(instant deadline);
+    bool areJobsFinished(const std::vector<std::vector<caller_job_view>> &listings) const;
+    void send(const std::string &path, const std::string &body, instant deadline,
+              http_client::done_callback done);
+    request_counts &countsOf(const planned_request &plan);
+    instant deadlineOf(const open_request &r) const;
+    void reportProgress();
+
+    event_loop &m_loop;
+    load_mix m_mix;
+    load_run_settings m_settings;
+    load_plan m_plan;
+    http_client m_client;
+    load_report m_report;
+    instant m_start;
+    std::string m_runName; ///< Prefix of job names, different for each run.
+    std::size_t m_nextEntry = 0;
+    std::int64_t m_open = 0;
+    bool m_isPlanDone = false;
+    std::vector<request_pointer> m_unknown;
+    std::vector<job_id> m_accepted;
+};
+
+} // namespace crocuswind
+
+#endif
