--- a/test/standin/store_main.cpp
+++ b/test/standin/store_main.cpp
@@ -222,6 +222,8 @@
     app.add_option("--seed", seed, "Seed of the random faults");
     app.add_option("--lose-answers-percent", faults.loseAnswersPercent,
                    "Share of writes that take effect without an answer");
+    app.add_option("--lose-next-answers", faults.loseNextAnswers,
+                   "Number of first writes that take effect without an answer");
     app.add_option("--delay-ms", faults.delayMs, "Delay of each answer in ms");
     app.add_option("--stale-ms", faults.staleMs, "Age of what plain reads return in ms");
     app.add_flag("--down", faults.isDown, "Begin with the store down");
