--- a/test/error/crocuswind_commands_test.cpp
+++ b/test/error/crocuswind_commands_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 #include <map>
+#include <nlohmann/json.hpp>
 
 using namespace crocuswind;
 using namespace crocuswind::standin;
@@ -182,3 +183,32 @@
     EXPECT_EQ(failed.run({"job", "t/n", "--wait"}).status, 1);
     EXPECT_EQ(failed.run({"job", "t/n"}).status, 0);
 }
+
+TEST(Commands, LoadAccountsForEveryRequest)
+{
+    fixed_entry entry(
+        {{"/v1/requests", response(200, R"({"id":"a.1.2","outcome":"answered","answer":"no"})")},
+         {"/v1/request-ids", response(503, R"({"error":"draining"})")},
+         {"/v1/jobs", response(422, R"({"error":"never fits"})")}});
+    const run_result result
+        = entry.run({"load", "--requests-per-second", "400", "--jobs-per-second", "50",
+                     "--unrepeatable-percent", "30", "--urgent-percent", "60", "--duration-ms",
+                     "500", "--check-answers", "--json", "--quiet"});
+    ASSERT_EQ(result.status, 0) << result.errors;
+    const nlohmann::json report = nlohmann::json::parse(result.output);
+    std::int64_t sent = 0;
+    for (const char *name : {"urgent", "normal"}) {
+        const nlohmann::json &counts = report[name];
+        sent += counts["sent"].get<std::int64_t>();
+        EXPECT_GT(counts["answered"], 0);
+        EXPECT_EQ(counts["sent"].get<std::int64_t>(),
+                  counts["answered"].get<std::int64_t>()
+                      + counts["not_run"]["no_identifier"].get<std::int64_t>());
+        // The fixed answer does not hold the request's payload.
+        EXPECT_EQ(counts["wrong_answers"], counts["answered"]);
+    }
+    EXPECT_EQ(sent, entry.calls("/v1/requests") + entry.calls("/v1/request-ids"));
+    EXPECT_GT(report["jobs"]["submitted"], 0);
+    EXPECT_EQ(report["jobs"]["not_accepted"]["422"], report["jobs"]["submitted"]);
+    EXPECT_EQ(report["jobs"]["listed"], false);
+}
