Survive workload files that break assertions of toml++

A section such as [.a] ended the process in a debug build and was undefined behaviour in a release build: toml++ 3.3.0 asserts there what malformed input can break. The fuzz test found it under the sanitizers. Its assertions now throw, and the mistake is reported with its place.

--- a/packages/protocol/workload_file.cpp
+++ b/packages/protocol/workload_file.cpp
@@ -2,6 +2,7 @@
 
 #include "workload_section.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <tuple>
 
@@ -107,6 +108,26 @@
     return t;
 }
 
+/// Returns the place of the first section whose name does not begin as a name may. This is the one
+/// mistake that toml++ is known to assert instead of reporting it with its place.
+source_place placeOfBadHeader(const workload_source &source)
+{
+    const std::string allowed
+        = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-\"'";
+    int line = 1;
+    for (std::size_t begin = 0; begin < source.text.size(); ++line) {
+        const std::size_t end = std::min(source.text.find('\n', begin), source.text.size());
+        std::size_t at = source.text.find_first_not_of(" \t", begin);
+        if (at < end && source.text[at] == '[') {
+            at = source.text.find_first_not_of(" \t[", at);
+            if (at < end && allowed.find(source.text[at]) == std::string::npos)
+                return {source.name, line, int(at - begin) + 1};
+        }
+        begin = end + 1;
+    }
+    return source_place{source.name};
+}
+
 /// Reads all sections of one kind, such as all `[team.NAME]`.
 template <class value, class reader>
 void readKind(const toml::key &kind, const toml::node &node, const std::string &file,
@@ -195,6 +216,13 @@
         found.push_back({workloadPlace(source.name, error.source()),
                          fmt::format("cannot read this as TOML: {}", error.description())});
         return set;
+    } catch (const toml_assertion &) {
+        set.hasUnreadFile = true;
+        found.push_back(
+            {placeOfBadHeader(source),
+             "cannot read this as TOML: a section's name begins with a letter, a digit, "
+             "'_', '-' or a quotation mark"});
+        return set;
     }
     for (const auto &[key, node] : root) {
         const std::string word(key.str());
--- a/packages/protocol/workload_section.h
+++ b/packages/protocol/workload_section.h
@@ -3,12 +3,13 @@
 #ifndef CROCUSWIND_PROTOCOL_WORKLOAD_SECTION_H
 #define CROCUSWIND_PROTOCOL_WORKLOAD_SECTION_H
 
+#include "workload_toml.h"
+
 #include "base/base.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <toml++/toml.h>
 #include <vector>
 
 namespace crocuswind {
--- a/test/error/protocol_workload_file_test.cpp
+++ b/test/error/protocol_workload_file_test.cpp
@@ -139,6 +139,16 @@
     EXPECT_EQ(set.error()[0].place.column, 9);
 }
 
+TEST(WorkloadFile, ReportsSectionNamesThatTheParserAsserts)
+{
+    // toml++ 3.3.0 ends the process for these unless its assertions are replaced.
+    EXPECT_EQ(findingsOf("[team.lab]\ncores = 8\n  [.a]\n"),
+              "a.toml:3:4: cannot read this as TOML: a section's name begins with a letter, a "
+              "digit, '_', '-' or a quotation mark\n");
+    EXPECT_NE(findingsOf("[[ =]]\n"), "");
+    EXPECT_NE(findingsOf("[\x01]"), "");
+}
+
 TEST(WorkloadFile, ReportsMistakesOfAllFilesTogether)
 {
     const auto set = parseWorkloadFiles(
