--- a/packages/protocol/workload_file.cpp
+++ b/packages/protocol/workload_file.cpp
@@ -119,8 +119,9 @@
         const std::size_t end = std::min(source.text.find('\n', begin), source.text.size());
         std::size_t at = source.text.find_first_not_of(" \t", begin);
         if (at < end && source.text[at] == '[') {
-            at = source.text.find_first_not_of(" \t[", at);
-            if (at < end && allowed.find(source.text[at]) == std::string::npos)
+            // A name that is missing ends the line.
+            at = std::min(source.text.find_first_not_of(" \t[", at), end);
+            if (at == end || allowed.find(source.text[at]) == std::string::npos)
                 return {source.name, line, int(at - begin) + 1};
         }
         begin = end + 1;
--- a/test/error/protocol_workload_file_test.cpp
+++ b/test/error/protocol_workload_file_test.cpp
@@ -145,6 +145,7 @@
     EXPECT_EQ(findingsOf("[team.lab]\ncores = 8\n  [.a]\n"),
               "a.toml:3:4: cannot read this as TOML: a section's name begins with a letter, a "
               "digit, '_', '-' or a quotation mark\n");
+    EXPECT_EQ(findingsOf("[\n").substr(0, 11), "a.toml:1:2:");
     EXPECT_NE(findingsOf("[[ =]]\n"), "");
     EXPECT_NE(findingsOf("[\x01]"), "");
 }
