--- a/packages/crocuswind/load_run.cpp
+++ b/packages/crocuswind/load_run.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace crocuswind {
 
@@ -93,7 +94,8 @@
     const auto r = std::make_shared<open_request>();
     r->plan = plan;
     r->intended = intended;
-    r->payload = fmt::format("{}-{}-", m_runName, plan.number);
+    // The mark lets a stand-in runner count unrepeatable requests that ran twice.
+    r->payload = fmt::format("{}{}-{}-", plan.isRepeatable ? "" : "once-", m_runName, plan.number);
     r->payload.resize(std::max(r->payload.size(), m_mix.payloadBytes), 'x');
     if (plan.isRepeatable)
         sendRequest(r);
@@ -213,13 +215,16 @@
             sum += count;
         return sum;
     };
-    if (!m_settings.isQuiet)
+    const double seconds = std::chrono::duration<double>(m_loop.now() - m_start).count();
+    if (!m_settings.isQuiet && m_isWaitingForJobs)
+        fmt::print(stderr, "load: {:.0f} s, waiting for jobs, {} of {} finished\n", seconds,
+                   m_finishedJobs, m_accepted.size());
+    else if (!m_settings.isQuiet)
         fmt::print(stderr,
                    "load: {:.0f} s, {} requests sent, {} answered, {} not run, {} unknown, "
                    "{} jobs accepted, {} calls open\n",
-                   std::chrono::duration<double>(m_loop.now() - m_start).count(), u.sent + n.sent,
-                   u.answered + n.answered, refused(u) + refused(n), u.unknown + n.unknown,
-                   m_report.jobs.accepted, m_open);
+                   seconds, u.sent + n.sent, u.answered + n.answered, refused(u) + refused(n),
+                   u.unknown + n.unknown, m_report.jobs.accepted, m_open);
     m_loop.callAt(m_loop.now() + 1s, [this] { reportProgress(); });
 }
 
@@ -243,22 +248,22 @@
     }
 }
 
-bool load_run::areJobsFinished(const std::vector<std::vector<caller_job_view>> &listings) const
+std::size_t load_run::countFinished(const std::vector<std::vector<caller_job_view>> &listings) const
 {
     std::size_t finished = 0;
-    std::map<job_id, bool> seen;
+    std::set<job_id> seen;
     for (const auto &listing : listings) {
         for (const caller_job_view &view : listing) {
             const bool isFinished
                 = view.state == "done" || view.state == "failed" || view.state == "cancelled";
             const bool hasNoEnd = view.kind == caller_job_kind::continuous;
             if (isFinished || hasNoEnd)
-                seen[view.id] = true;
+                seen.insert(view.id);
         }
     }
     for (const job_id &id : m_accepted)
         finished += seen.count(id);
-    return finished == m_accepted.size();
+    return finished;
 }
 
 void load_run::readListings(instant deadline)
@@ -288,7 +293,8 @@
         std::vector<std::vector<caller_job_view>> listings;
         const bool isComplete = readAll(listings);
         const bool isOver = m_loop.now() + listPeriod >= deadline;
-        if (isComplete && (isOver || areJobsFinished(listings))) {
+        m_finishedJobs = countFinished(listings);
+        if (isComplete && (isOver || m_finishedJobs == m_accepted.size())) {
             countListings(listings, m_accepted, m_report.jobs);
             m_report.jobs.isListed = true;
             return;
@@ -310,6 +316,7 @@
         m_mix.durationMs,
         std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.now() - m_start).count());
     askUnknown();
+    m_isWaitingForJobs = true;
     if (!m_accepted.empty())
         readListings(m_loop.now() + std::chrono::milliseconds(m_settings.jobWaitMs));
     return m_report;
--- a/packages/crocuswind/load_run.h
+++ b/packages/crocuswind/load_run.h
@@ -54,7 +54,7 @@
     void sendJob(const job_id &id, const std::string &body, int triesLeft);
     void askUnknown();
     void readListings(instant deadline);
-    bool areJobsFinished(const std::vector<std::vector<caller_job_view>> &listings) const;
+    std::size_t countFinished(const std::vector<std::vector<caller_job_view>> &listings) const;
     void send(const std::string &path, const std::string &body, instant deadline,
               http_client::done_callback done);
     request_counts &countsOf(const planned_request &plan);
@@ -72,6 +72,8 @@
     std::size_t m_nextEntry = 0;
     std::int64_t m_open = 0;
     bool m_isPlanDone = false;
+    bool m_isWaitingForJobs = false;
+    std::size_t m_finishedJobs = 0; ///< Of the accepted ones, in the last listings.
     std::vector<request_pointer> m_unknown;
     std::vector<job_id> m_accepted;
 };
--- a/test/failure/standin_runner_test.cpp
+++ b/test/failure/standin_runner_test.cpp
@@ -66,12 +66,13 @@
     runner_model first(fixedSettings(), 1, audit);
     runner_model second(fixedSettings(), 2, audit);
     first.arrive(at(0), 1, "a", at(1000));
-    second.arrive(at(5), 2, "a", at(1000));
+    second.arrive(at(5), 2, "a", at(1000), true);
     first.arrive(at(0), 3, "b", at(1000));
     const nlohmann::json summary = audit.summary();
     EXPECT_EQ(summary["run_more_than_once"], 1);
     EXPECT_EQ(summary["highest_concurrent_runs"], 2);
     EXPECT_EQ(summary["repeated"][0], "a");
+    EXPECT_EQ(summary["unrepeatable_run_more_than_once"], 1);
 }
 
 TEST(StandinRunner, CountsArrivalsAfterLeaving)
--- a/test/standin/runner_main.cpp
+++ b/test/standin/runner_main.cpp
@@ -80,7 +80,10 @@
         const std::uint64_t token = ++m_lastToken;
         m_open[token] = {e, id, e->body()};
         finishDue(e->listener());
-        m_runners[e->listener()].model.arrive(now, token, id, deadline);
+        // `crocuswind load` marks the payloads of unrepeatable requests, which the runner cannot
+        // tell from others otherwise.
+        const bool mustRunOnce = e->body().rfind("once-", 0) == 0;
+        m_runners[e->listener()].model.arrive(now, token, id, deadline, mustRunOnce);
         finishDue(e->listener());
     }
 
--- a/test/standin/runner_model.cpp
+++ b/test/standin/runner_model.cpp
@@ -13,10 +13,11 @@
 
 } // namespace
 
-void request_audit::started(const std::string &id)
+void request_audit::started(const std::string &id, bool mustRunOnce)
 {
     history &h = m_requests[id];
     ++h.runs;
+    h.mustRunOnce = h.mustRunOnce || mustRunOnce;
     ++h.running;
     h.highestRunning = std::max(h.highestRunning, h.running);
 }
@@ -37,15 +38,21 @@
     int highestRuns = 0;
     int highestConcurrent = 0;
     std::int64_t repeated = 0;
+    std::int64_t unrepeatable = 0;
+    std::int64_t unrepeatableRepeated = 0;
     nlohmann::json names = nlohmann::json::array();
     for (const auto &[id, h] : m_requests) {
         highestRuns = std::max(highestRuns, h.runs);
         highestConcurrent = std::max(highestConcurrent, h.highestRunning);
+        unrepeatable += h.mustRunOnce ? 1 : 0;
+        unrepeatableRepeated += h.mustRunOnce && h.runs > 1 ? 1 : 0;
         if (h.runs > 1 && ++repeated <= std::int64_t(maxNamesListed))
             names.push_back(id);
     }
     return {{"requests", m_requests.size()},
             {"run_more_than_once", repeated},
+            {"unrepeatable", unrepeatable},
+            {"unrepeatable_run_more_than_once", unrepeatableRepeated},
             {"highest_runs", highestRuns},
             {"highest_concurrent_runs", highestConcurrent},
             {"repeated", names}};
@@ -73,7 +80,8 @@
     return duration(std::int64_t(time));
 }
 
-void runner_model::arrive(instant now, std::uint64_t token, const std::string &id, instant deadline)
+void runner_model::arrive(instant now, std::uint64_t token, const std::string &id, instant deadline,
+                          bool mustRunOnce)
 {
     ++m_arrived;
     if (m_leavingSince && now > *m_leavingSince + leavingLimit)
@@ -85,7 +93,7 @@
         return;
     }
     m_highestConcurrent = std::max(m_highestConcurrent, concurrent);
-    m_waiting.push_back({token, id, deadline});
+    m_waiting.push_back({token, id, deadline, mustRunOnce});
     startWaiting(now);
 }
 
@@ -100,7 +108,7 @@
             continue;
         }
         ++m_started;
-        m_audit.started(request.id);
+        m_audit.started(request.id, request.mustRunOnce);
         running_request running{request.token, request.id, runner_end::answered};
         duration time = drawTime();
         if (draw(m_settings.errorPercent)) {
--- a/test/standin/runner_model.h
+++ b/test/standin/runner_model.h
@@ -20,7 +20,8 @@
 class request_audit
 {
 public:
-    void started(const std::string &id);
+    /// Notes a start; \p mustRunOnce marks a request that is unrepeatable (I6).
+    void started(const std::string &id, bool mustRunOnce);
     void ended(const std::string &id);
 
     /// Returns how often a request was started.
@@ -36,6 +37,7 @@
         int runs = 0;
         int running = 0;
         int highestRunning = 0;
+        bool mustRunOnce = false;
     };
 
     std::unordered_map<std::string, history> m_requests;
@@ -85,7 +87,8 @@
     /// Takes in a request under a token of the caller's choice. It ends, then or later, with an
     /// element of what advance() returns. A request whose time is over before it has a slot is
     /// refused before it starts.
-    void arrive(instant now, std::uint64_t token, const std::string &id, instant deadline);
+    void arrive(instant now, std::uint64_t token, const std::string &id, instant deadline,
+                bool mustRunOnce = false);
 
     /// Brings the runner to \p now and returns the requests that have ended since.
     std::vector<runner_finish> advance(instant now);
@@ -107,6 +110,7 @@
         std::uint64_t token = 0;
         std::string id;
         instant deadline;
+        bool mustRunOnce = false;
     };
 
     struct running_request
