Bound the store stand-in's history; report a missing identifier as not run

The history of changes was bounded by count alone, and a shard writes about 1 MB a second. A request for which no identifier was issued was reported as unknown, although nothing was sent.

--- a/packages/crocuswind/request_commands.cpp
+++ b/packages/crocuswind/request_commands.cpp
@@ -110,9 +110,13 @@
 request_id fetchIdentifier(entry_client &client)
 {
     const http_result result = client.call("POST", "/v1/request-ids", "", client.deadline(), true);
+    if (result.outcome == http_outcome::no_answer)
+        throw command_error(exit_status::refused,
+                            fmt::format("no answer from {} in time; no identifier was issued and "
+                                        "the request was not sent. Repeat the command.",
+                                        client.addresses()));
     if (result.outcome != http_outcome::answered)
-        failUnanswered(client, result.outcome,
-                       "no identifier was issued and the request was not sent; repeat the command");
+        failUnanswered(client, result.outcome, "");
     if (result.status != 200)
         failStatus(result, exit_status::refused);
     const auto id = parseCallerRequestId(result.body);
@@ -133,6 +137,13 @@
     request.timeLeftMs = s.timeLeftMs;
     request.payload
         = s.payloadFile.empty() ? s.payload : readFile(s.payloadFile, maxCallerBodyBytes / 2);
+    // Checked before anything is sent. An identifier adds less than the reserve.
+    constexpr std::size_t identifierReserve = 256;
+    if (toBody(request).size() + identifierReserve > maxCallerBodyBytes)
+        throw command_error(exit_status::usage,
+                            fmt::format("the request is larger than {} bytes with its payload "
+                                        "encoded",
+                                        maxCallerBodyBytes));
     entry_client client(loop, s.entry);
     if (s.isUnrepeatable)
         request.id = fetchIdentifier(client);
--- a/test/error/crocuswind_commands_test.cpp
+++ b/test/error/crocuswind_commands_test.cpp
@@ -166,6 +166,13 @@
     EXPECT_EQ(result.output, "issued\n");
     EXPECT_EQ(entry.calls("/v1/request-ids"), 1);
     EXPECT_EQ(entry.calls("/v1/requests"), 1);
+
+    // Without an identifier nothing was sent, so the request surely did not run.
+    fixed_entry silent({});
+    EXPECT_EQ(
+        silent.run({"request", "s", "--team", "t", "--unrepeatable", "--timeout-ms", "300"}).status,
+        3);
+    EXPECT_EQ(silent.calls("/v1/requests"), 0);
 }
 
 TEST(Commands, JobAnswersHaveTheirOwnExitStatuses)
--- a/test/standin/store_model.cpp
+++ b/test/standin/store_model.cpp
@@ -10,7 +10,10 @@
 /// etcd limits a request to 1.5 MB by default; the platform states 1 MB for a value.
 constexpr std::size_t maxValueBytes = 1000 * 1000;
 constexpr std::size_t maxRequests = 128;
-constexpr std::size_t maxHistory = 100000;
+
+/// Bounds the memory for the changes that watches have still to be told; a shard's commits write
+/// about 1 MB a second.
+constexpr std::size_t maxHistoryBytes = 64 * 1000 * 1000;
 
 template <class value>
 bool compareBy(kv_compare::relation how, const value &a, const value &b)
@@ -182,7 +185,7 @@
     entry.lease = p.lease;
     if (p.lease != 0)
         m_leases[p.lease].keys.insert(p.key);
-    m_history.push_back({false, entry});
+    addToHistory({false, entry});
 }
 
 std::int64_t store_model::remove(const key_range &keys, std::int64_t revision)
@@ -196,7 +199,7 @@
         change.isDeleted = true;
         change.entry.key = i->first;
         change.entry.modRevision = revision;
-        m_history.push_back(std::move(change));
+        addToHistory(std::move(change));
         i = m_entries.erase(i);
         ++count;
     }
@@ -263,8 +266,18 @@
             }
         }
     }
-    if (m_history.size() > 2 * maxHistory)
-        m_history.erase(m_history.begin(), m_history.end() - std::ptrdiff_t(maxHistory));
+}
+
+void store_model::addToHistory(kv_change change)
+{
+    const auto sizeOf
+        = [](const kv_change &c) { return sizeof(c) + c.entry.key.size() + c.entry.value.size(); };
+    m_historyBytes += sizeOf(change);
+    m_history.push_back(std::move(change));
+    while (m_historyBytes > maxHistoryBytes && m_history.size() > 1) {
+        m_historyBytes -= sizeOf(m_history.front());
+        m_history.pop_front();
+    }
 }
 
 std::optional<instant> store_model::nextExpiry() const
--- a/test/standin/store_model.h
+++ b/test/standin/store_model.h
@@ -6,6 +6,7 @@
 #include "base/base.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -130,7 +131,8 @@
     /// Carries out an operation as packages/base defines it, as a store adapter would.
     store_result apply(instant now, const store_operation &operation);
 
-    /// Returns the changes in \p keys since \p revision, that one included.
+    /// Returns the changes in \p keys since \p revision, that one included, as far as they are
+    /// among the last 64 MB of changes.
     std::vector<kv_change> changesFrom(std::int64_t revision, const key_range &keys) const;
 
     /// Returns the entries of a range by the current state.
@@ -155,10 +157,12 @@
     std::int64_t remove(const key_range &keys, std::int64_t revision);
     void detachFromLease(const store_entry &entry);
     void endLease(std::int64_t lease);
+    void addToHistory(kv_change change);
 
     std::map<std::string, store_entry> m_entries;
     std::map<std::int64_t, lease_record> m_leases;
-    std::vector<kv_change> m_history; ///< In the order of revisions.
+    std::deque<kv_change> m_history; ///< In the order of revisions; the oldest are dropped.
+    std::size_t m_historyBytes = 0;
     std::int64_t m_revision = 1;
     std::int64_t m_writes = 0;
     std::int64_t m_nextLease = 7000;
