Connect the parts into the daemon, and add ./run

Cause: the cores, the I/O package and the command line had not run together. Change: adapters in packages/crocuswindd that turn I/O into events and actions into I/O; pages for health, readiness, metrics and status; ./run; a fixture that starts a small site of real processes. Two types of one name in different packages are renamed (peer_hello_codec, load_request_counts).

--- a/packages/crocuswind/load_report.cpp
+++ b/packages/crocuswind/load_report.cpp
@@ -39,7 +39,7 @@
     return elapsedMs > 0 ? double(count) * 1000 / double(elapsedMs) : 0;
 }
 
-std::string requestText(const std::string &name, request_counts &c, std::int64_t elapsedMs)
+std::string requestText(const std::string &name, load_request_counts &c, std::int64_t elapsedMs)
 {
     if (c.sent == 0)
         return {};
@@ -61,7 +61,7 @@
     return text;
 }
 
-nlohmann::json requestJson(request_counts &c, std::int64_t elapsedMs)
+nlohmann::json requestJson(load_request_counts &c, std::int64_t elapsedMs)
 {
     std::sort(c.latenciesUs.begin(), c.latenciesUs.end());
     nlohmann::json latencies = nlohmann::json::object();
@@ -102,7 +102,7 @@
 }
 
 void countListings(const std::vector<std::vector<caller_job_view>> &listings,
-                   const std::vector<job_id> &accepted, job_counts &counts)
+                   const std::vector<job_id> &accepted, load_job_counts &counts)
 {
     const std::set<job_id> wanted(accepted.begin(), accepted.end());
     std::map<job_id, const caller_job_view *> seen;
@@ -142,7 +142,7 @@
     std::string text = fmt::format("load ran for {:.1f} s\n", double(r.elapsedMs) / 1000);
     text += requestText("urgent", r.urgent, r.elapsedMs);
     text += requestText("normal", r.normal, r.elapsedMs);
-    const job_counts &j = r.jobs;
+    const load_job_counts &j = r.jobs;
     if (j.submitted > 0) {
         text += fmt::format("jobs: {} submitted, {} accepted, {} unknown, not accepted: {}\n",
                             j.submitted, j.accepted, j.unknown, listOf(j.refused));
@@ -158,7 +158,7 @@
 
 nlohmann::json reportJson(load_report r)
 {
-    const job_counts &j = r.jobs;
+    const load_job_counts &j = r.jobs;
     nlohmann::json jobs
         = {{"submitted", j.submitted},  {"accepted", j.accepted}, {"unknown", j.unknown},
            {"not_accepted", j.refused}, {"states", j.states},     {"listed", j.isListed}};
--- a/packages/crocuswind/load_report.h
+++ b/packages/crocuswind/load_report.h
@@ -14,7 +14,7 @@
 namespace crocuswind {
 
 /// How the requests of one class fared.
-struct request_counts
+struct load_request_counts
 {
     std::int64_t sent = 0;
     std::int64_t answered = 0;
@@ -29,7 +29,7 @@
 };
 
 /// How the jobs fared, from their submissions and the listings at the end.
-struct job_counts
+struct load_job_counts
 {
     std::int64_t submitted = 0;
     std::int64_t accepted = 0;
@@ -46,9 +46,9 @@
 /// The whole report.
 struct load_report
 {
-    request_counts urgent;
-    request_counts normal;
-    job_counts jobs;
+    load_request_counts urgent;
+    load_request_counts normal;
+    load_job_counts jobs;
     std::int64_t elapsedMs = 0;
 };
 
@@ -61,7 +61,7 @@
 /// Counts the jobs of the listings of all entry hosts. \p accepted are the jobs whose acceptance
 /// was acknowledged; jobs of others in the listings are ignored.
 void countListings(const std::vector<std::vector<caller_job_view>> &listings,
-                   const std::vector<job_id> &accepted, job_counts &counts);
+                   const std::vector<job_id> &accepted, load_job_counts &counts);
 
 /// Formats the report as text.
 std::string reportText(load_report report);
--- a/packages/crocuswind/load_run.cpp
+++ b/packages/crocuswind/load_run.cpp
@@ -42,7 +42,7 @@
     , m_runName(fmt::format("load-{}", randomIdentifier().substr(0, 8)))
 { }
 
-request_counts &load_run::countsOf(const planned_request &plan)
+load_request_counts &load_run::countsOf(const planned_request &plan)
 {
     return plan.isUrgent ? m_report.urgent : m_report.normal;
 }
@@ -137,7 +137,7 @@
 
 void load_run::onRequestResult(const request_pointer &r, const http_result &result)
 {
-    request_counts &counts = countsOf(r->plan);
+    load_request_counts &counts = countsOf(r->plan);
     if (result.outcome == http_outcome::not_connected) {
         // Nothing was sent, so the next entry host may be tried, as the balancer would.
         if (++r->tries < m_settings.entries.size())
@@ -189,7 +189,7 @@
 {
     send("/v1/jobs", body, m_loop.now() + jobLimit,
          [this, id, body, triesLeft](const http_result &result) {
-             job_counts &counts = m_report.jobs;
+             load_job_counts &counts = m_report.jobs;
              if (result.outcome == http_outcome::answered && result.status / 100 == 2) {
                  ++counts.accepted;
                  m_accepted.push_back(id);
@@ -207,9 +207,9 @@
 
 void load_run::reportProgress()
 {
-    const request_counts &u = m_report.urgent;
-    const request_counts &n = m_report.normal;
-    const auto refused = [](const request_counts &c) {
+    const load_request_counts &u = m_report.urgent;
+    const load_request_counts &n = m_report.normal;
+    const auto refused = [](const load_request_counts &c) {
         std::int64_t sum = 0;
         for (const auto &[reason, count] : c.refused)
             sum += count;
--- a/packages/crocuswind/load_run.h
+++ b/packages/crocuswind/load_run.h
@@ -57,7 +57,7 @@
     std::size_t countFinished(const std::vector<std::vector<caller_job_view>> &listings) const;
     void send(const std::string &path, const std::string &body, instant deadline,
               http_client::done_callback done);
-    request_counts &countsOf(const planned_request &plan);
+    load_request_counts &countsOf(const planned_request &plan);
     instant deadlineOf(const open_request &r) const;
     void reportProgress();
 
--- a/packages/crocuswind/workload_reading.h
+++ b/packages/crocuswind/workload_reading.h
@@ -3,7 +3,7 @@
 #define CROCUSWIND_CROCUSWIND_WORKLOAD_READING_H
 
 // cluster/cluster.h and io/io.h both declare peer_hello, so only what is needed is included.
-#include "cluster/publish_core.h"
+#include "cluster/cluster.h"
 #include "protocol/protocol.h"
 
 #include <string>
--- /dev/null
+++ b/packages/crocuswindd/batch_adapter.h
@@ -0,0 +1,133 @@
+/// Defines the adapter between the shard cores of this data centre and the outside: callers, the
+/// store, workers and the other entry hosts that own shards. It decides nothing.
+#ifndef CROCUSWIND_CROCUSWINDD_BATCH_ADAPTER_H
+#define CROCUSWIND_CROCUSWINDD_BATCH_ADAPTER_H
+
+#include "host_context.h"
+#include "job_bodies.h"
+
+#include "batch/batch.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace crocuswind {
+
+/// What the adapter asks of the rest of the daemon.
+struct batch_adapter_callbacks
+{
+    /// Sends a call for a shard to the host that owns it. Returns false if nothing was sent.
+    std::function<bool(const host_id &to, const shard_id &shard, std::uint64_t token,
+                       const std::string &body)>
+        forwardJob;
+    /// Answers a call that came from a peer.
+    std::function<void(const host_id &to, const shard_id &shard, std::uint64_t token,
+                       const std::string &body)>
+        answerJob;
+    std::function<void()> drained; ///< Every shard is given up after a drain.
+};
+
+/// Drives one shard_core for each shard of the data centre.
+class batch_adapter
+{
+public:
+    batch_adapter(host_context &context, batch_adapter_callbacks callbacks);
+    ~batch_adapter();
+
+    /// Handles a request of a caller. Returns false if the path is not one of this adapter.
+    bool handle(const http_request &request, const http_responder &responder);
+
+    /// Hands one event to every shard core.
+    template <class what>
+    void feedAll(const what &event)
+    {
+        for (auto &shard : m_shards)
+            feed(*shard, event);
+    }
+
+    /// Takes in the host list's workers of this data centre.
+    void setWorkers(const std::vector<listed_host> &hosts);
+
+    /// Handles a call that a peer forwarded; it is answered here and never forwarded again.
+    void receiveCall(const host_id &from, int shard, std::uint64_t token, const std::string &body);
+
+    /// Handles a peer's answer to a call that this host forwarded.
+    void receiveAnswer(std::uint64_t token, const std::string &body);
+
+    /// Ends the calls that wait for this peer; their outcome is unknown.
+    void peerLost(const host_id &host);
+
+    /// Returns the state of each shard, in the order of their numbers.
+    std::vector<shard_status> status() const;
+
+private:
+    using answer_callback = std::function<void(const job_answer_body &)>;
+
+    struct shard
+    {
+        shard(event_loop &loop, shard_settings settings)
+            : number(settings.shard.index)
+            , core(settings)
+            , wake(loop)
+        { }
+        int number;
+        shard_core core;
+        wake_timer wake;
+        bool isDrained = false;
+    };
+
+    struct open_call
+    {
+        job_call call;
+        answer_callback done;
+        bool mayForward = false; ///< False for a call that came from a peer.
+        int shard = 0;
+    };
+
+    struct forwarded_call
+    {
+        host_id to;
+        answer_callback done;
+        timer_id timer = 0;
+    };
+
+    struct collected_list;
+
+    template <class what>
+    void feed(shard &s, what event)
+    {
+        perform(s, s.core.handle(shard_event{m_context.loop.now(), std::move(event)}));
+    }
+
+    void submit(const http_request &request, const http_responder &responder);
+    void list(const http_request &request, const http_responder &responder);
+    void run(int shardNumber, job_call call, bool mayForward, answer_callback done);
+    void forward(const open_call &open, const host_id &owner);
+    void finishForwarded(std::uint64_t token, const job_answer_body &answer);
+    void perform(shard &s, const std::vector<shard_action> &actions);
+    void perform(shard &s, const shard_store_call &action);
+    void perform(shard &s, const shard_sync_worker &action);
+    void perform(shard &s, const shard_reply &action);
+    void perform(shard &s, const shard_span &action);
+    void perform(shard &s, const shard_log &action);
+    void perform(shard &s, const shard_wake_at &action);
+    void perform(shard &s, const shard_drained &action);
+    void finishSync(shard &s, const shard_sync_worker &sync, const http_result &answer);
+
+    host_context &m_context;
+    batch_adapter_callbacks m_callbacks;
+    logger m_log{"batch"};
+    std::vector<std::unique_ptr<shard>> m_shards;
+    std::map<worker_id, ip_endpoint> m_workerEndpoints;
+    caller_token m_lastCaller = 0;
+    std::map<caller_token, open_call> m_calls;
+    std::uint64_t m_lastForward = 0;
+    std::map<std::uint64_t, forwarded_call> m_forwarded;
+};
+
+} // namespace crocuswind
+
+#endif
--- a/packages/crocuswindd/main.cpp
+++ b/packages/crocuswindd/main.cpp
@@ -1,13 +1,16 @@
 // The daemon of an entry host.
 
+#include "entry_host.h"
 #include "settings.h"
 
+#include <csignal>
 #include <fmt/format.h>
 
 using namespace crocuswind;
 
 namespace {
 
+constexpr int exitFailed = 1;
 constexpr int exitUsage = 2;
 
 int reportSettingsFailure(const settings_failure &failure)
@@ -21,6 +24,15 @@
     return exitUsage;
 }
 
+log_level toLogLevel(const std::string &word)
+{
+    if (word == "debug")
+        return log_level::debug;
+    if (word == "warning")
+        return log_level::warning;
+    return word == "error" ? log_level::error : log_level::info;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -28,5 +40,17 @@
     const auto settings = parseDaemonSettings(argc, argv);
     if (!settings)
         return reportSettingsFailure(settings.error());
+    setLogLevel(toLogLevel(settings->logLevel));
+
+    event_loop loop;
+    entry_host host(loop, *settings);
+    const auto started = host.start();
+    if (!started) {
+        fmt::print(stderr, "host: {}\n", started.error());
+        return exitFailed;
+    }
+    loop.onSignal(SIGTERM, [&host] { host.drain(); });
+    loop.onSignal(SIGINT, [&host] { host.drain(); });
+    loop.run();
     return 0;
 }
--- a/packages/io/peer_links.cpp
+++ b/packages/io/peer_links.cpp
@@ -46,7 +46,7 @@
         duration delay = duration::zero();
     };
 
-    implementation(event_loop &l, peer_links_settings s, peer_hello &h, random_source &r,
+    implementation(event_loop &l, peer_links_settings s, peer_hello_codec &h, random_source &r,
                    peer_links_callbacks c)
         : loop(l)
         , settings(std::move(s))
@@ -288,7 +288,7 @@
 
     event_loop &loop;
     peer_links_settings settings;
-    peer_hello &hello;
+    peer_hello_codec &hello;
     random_source &random;
     peer_links_callbacks callbacks;
     logger log{"peer links"};
@@ -302,7 +302,7 @@
     std::shared_ptr<int> life = std::make_shared<int>(0); ///< Expires with the links.
 };
 
-peer_links::peer_links(event_loop &loop, peer_links_settings settings, peer_hello &hello,
+peer_links::peer_links(event_loop &loop, peer_links_settings settings, peer_hello_codec &hello,
                        random_source &random, peer_links_callbacks callbacks)
     : m_implementation(std::make_unique<implementation>(loop, std::move(settings), hello, random,
                                                         std::move(callbacks)))
--- a/packages/io/peer_links.h
+++ b/packages/io/peer_links.h
@@ -18,10 +18,10 @@
 namespace crocuswind {
 
 /// Writes and reads the first frame of each link, by which the two ends learn each other's name.
-class peer_hello
+class peer_hello_codec
 {
 public:
-    virtual ~peer_hello() = default;
+    virtual ~peer_hello_codec() = default;
 
     /// Returns the frame that this host sends first on each link.
     virtual std::string helloFrame() = 0;
@@ -79,7 +79,7 @@
 {
 public:
     /// \p hello and \p random must outlive the links; \p random jitters the delays.
-    peer_links(event_loop &loop, peer_links_settings settings, peer_hello &hello,
+    peer_links(event_loop &loop, peer_links_settings settings, peer_hello_codec &hello,
                random_source &random, peer_links_callbacks callbacks);
     ~peer_links();
     peer_links(const peer_links &) = delete;
--- a/test/correctness/crocuswind_load_test.cpp
+++ b/test/correctness/crocuswind_load_test.cpp
@@ -92,7 +92,7 @@
     std::vector<job_id> accepted;
     for (const char *name : {"a", "b", "c", "d", "e"})
         accepted.push_back({team_id{"lab"}, name});
-    job_counts counts;
+    load_job_counts counts;
     countListings({first, second}, accepted, counts);
     EXPECT_EQ(counts.evictions, 1 + 1 + 0 + 2);
     EXPECT_EQ(counts.failures, 1 + 3);
--- a/test/failure/io_peer_links_test.cpp
+++ b/test/failure/io_peer_links_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // A hello is "hello NAME".
-struct text_hello final : peer_hello
+struct text_hello final : peer_hello_codec
 {
     explicit text_hello(std::string n)
         : name(std::move(n))
@@ -192,7 +192,7 @@
 TEST_F(peer_links_test, WrongNameIsNotConnected)
 {
     int hellos = 0;
-    struct counting_hello final : peer_hello
+    struct counting_hello final : peer_hello_codec
     {
         explicit counting_hello(int &c)
             : count(c)
--- a/test/failure/io_tls_test.cpp
+++ b/test/failure/io_tls_test.cpp
@@ -184,7 +184,7 @@
 
 TEST_F(tls_test, PeerLinksTalkAndRefuseStrangers)
 {
-    struct name_hello final : peer_hello
+    struct name_hello final : peer_hello_codec
     {
         explicit name_hello(std::string n)
             : name(std::move(n))
--- a/test/fuzz/io_wire_fuzz_test.cpp
+++ b/test/fuzz/io_wire_fuzz_test.cpp
@@ -35,7 +35,7 @@
                            "\x02\x81\x01\x02\x03\x04x\x80\x81\x01\x02\x03\x04y"
                            "\x88\x82\x01\x02\x03\x04\x02\xea";
 
-struct raw_hello final : peer_hello
+struct raw_hello final : peer_hello_codec
 {
     std::string helloFrame() override { return "self"; }
     std::optional<host_id> parseHello(std::string_view frame) override
--- a/test/performance/io_benchmark.cpp
+++ b/test/performance/io_benchmark.cpp
@@ -28,7 +28,7 @@
     state.SetBytesProcessed(std::int64_t(state.iterations()) * state.range(0) * 2);
 }
 
-struct name_hello final : peer_hello
+struct name_hello final : peer_hello_codec
 {
     explicit name_hello(std::string n)
         : name(std::move(n))
