Test whole sites of real processes under kills, pauses, stops and outages

Cause: the proofs so far ran on the cores alone; nothing showed that the connected processes keep the invariants.

--- a/test/standin/site.cpp
+++ b/test/standin/site.cpp
@@ -261,6 +261,17 @@
     return status["requests"]["slots"] != 0;
 }
 
+std::size_t site::ownerOf(int shard)
+{
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        const http_result result = call(host(i).callers, "GET", "/v1/status", {}, 1s);
+        const json status = json::parse(result.body, nullptr, false);
+        if (status.is_object() && status["shards"][std::size_t(shard)]["owner"] == true)
+            return i;
+    }
+    return m_hosts.size();
+}
+
 bool site::isReady(std::size_t number)
 {
     return call(host(number).callers, "GET", "/readyz", {}, 2s).status == 200;
--- a/test/standin/site.h
+++ b/test/standin/site.h
@@ -22,7 +22,7 @@
     std::string name = "dakar-1";
     int entryHosts = 2;
     int runners = 2;
-    int workers = 2;
+    int workers = 8; ///< Enough that each of two shards has some of them.
 };
 
 /// What a site consists of.
@@ -59,9 +59,15 @@
 
     const std::string &failure() const { return m_failure; }
 
+    /// Records why a step of a test did not come about, for failure().
+    void setFailure(const std::string &reason) { m_failure = reason; }
+
     /// Starts an entry host (again, after its process has ended) on new ports.
     bool startHost(std::size_t number);
 
+    /// Hands the present runners, workers and entry hosts to the host list.
+    bool publishHosts();
+
     site_host &host(std::size_t number) { return *m_hosts.at(number); }
     std::size_t hostCount() const { return m_hosts.size(); }
 
@@ -90,11 +96,14 @@
     /// Returns whether the host answers `/readyz` with 200.
     bool isReady(std::size_t number);
 
+    /// Returns the number of a host that owns the shard, or hostCount() if none does. A host that
+    /// does not answer within a second is passed over.
+    std::size_t ownerOf(int shard);
+
     event_loop &loop() { return m_loop; }
 
 private:
     std::string startStandin(const std::string &program, const std::vector<std::string> &flags);
-    bool publishHosts();
     bool publishConfiguration();
     bool seesWholeSite(std::size_t number);
 
