Keep serving images apart on different workers

Cause: serving tasks went to the worker with the least room left, and a worker with tasks of another image cost half of its processors, less than one without any. Workers held 2.1 serving images on average.

Change: a worker with other serving images costs three times its processors. The test hands in jobs of three serving images for six workers; they were packed onto some of these, and stand on workers of their own now.

--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -22,11 +22,12 @@
 /// Above this coefficient, a single task of usual size is more than the serving tasks bear.
 constexpr double blockingCoefficient = 2.5;
 
-// What it costs to bring a serving image to a worker, as shares of its processors: idle room beside
-// no serving task takes all work, beside one image more than beside several, and less with each
-// image of work that the new one does not bear.
+// What it costs to bring a serving image to a worker, as shares of its processors. Idle room beside
+// no serving task takes all work. Each image of work harms one or two serving images of five, so it
+// finds room beside a single image on most workers, beside three on few: mixing costs more than a
+// whole worker. It costs more with each image of work that the new one does not bear.
 constexpr double firstServingShare = 0.75;
-constexpr double otherServingShare = 0.5;
+constexpr double otherServingShare = 3;
 constexpr double newlyBlockedShare = 0.5;
 
 /// Of each other image in the idle room: few images on a worker tell more about each other.
--- a/test/correctness/scheduler_interference_test.cpp
+++ b/test/correctness/scheduler_interference_test.cpp
@@ -182,3 +182,34 @@
     const call_token token = flood.owner.call(job_call_kind::query, {"light"});
     EXPECT_EQ(flood.owner.replies.at(token).status, job_status::completed);
 }
+
+// Work that harms one serving image had no room anywhere, since the images were packed together
+// onto few workers while others stood empty.
+TEST(WorkerChoice, KeepsServingImagesApartWhileThereIsRoom)
+{
+    scheduler_world world;
+    fake_owner &owner = world.addOwner("host-1");
+    for (int i = 0; i < 6; ++i)
+        world.addWorker(fmt::format("w{}", i), "rack-1", {10000, 64000, 0});
+    world.takeOver(owner);
+    world.run(200ms);
+    world.runTime = [](const task_name &) { return duration(1000s); };
+    for (const std::string name : {"a1", "b1", "c1", "a2", "b2", "c2"}) {
+        job_spec serving = plainJob(name, 2);
+        serving.steps[0].isLasting = true;
+        serving.steps[0].image = name.substr(0, 1);
+        serving.steps[0].latencyTargetMs = 100;
+        serving.steps[0].maxPerWorker = 1;
+        serving.steps[0].size.milliCores = 4000;
+        owner.call(job_call_kind::submit, serving.name, &serving);
+        world.run(500ms);
+    }
+    std::map<worker_id, std::set<char>> images;
+    for (const auto &[id, worker] : world.workers) {
+        for (const auto &[task, run] : worker.runs)
+            images[id].insert(task.job.value.front());
+    }
+    EXPECT_EQ(images.size(), 6U);
+    for (const auto &[id, present] : images)
+        EXPECT_EQ(present.size(), 1U) << id.value;
+}
