Place work in idle room where it harms least

Cause: among the workers whose serving tasks could just take a task in idle room, the one with the most idle room was chosen, however much of the budget for interference the task used there.

Change: a pressure of 1 counts as much as 20 cores of idle room. The test has two workers, of which the one with more idle room serves an image that the work harms; the work went there before.

--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -33,6 +33,10 @@
 /// Of each other image in the idle room: few images on a worker tell more about each other.
 constexpr double otherImageCost = 4000;
 
+/// Of a pressure of 1, in thousandths of a core of idle room. Work goes where it harms little as
+/// long as there is such a place; by idle room alone it went to any worker that could just take it.
+constexpr double pressureCost = 20000;
+
 bool hasLabel(const worker_info &info, const std::string &label)
 {
     return std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
@@ -161,7 +165,11 @@
         if (cost >= bestCost)
             continue;
         if (step.fillsIdleRoom) {
-            if (fillPressure(worker, coefficients, step.size.milliCores) > request.maxPressure)
+            const double pressure = fillPressure(worker, coefficients, step.size.milliCores);
+            if (pressure > request.maxPressure)
+                continue;
+            cost += pressure * pressureCost;
+            if (cost >= bestCost)
                 continue;
         } else if (step.latencyTargetMs > 0) {
             cost += servingCost(state, worker, step.image);
--- a/test/correctness/scheduler_interference_test.cpp
+++ b/test/correctness/scheduler_interference_test.cpp
@@ -213,3 +213,34 @@
     for (const auto &[id, present] : images)
         EXPECT_EQ(present.size(), 1U) << id.value;
 }
+
+// Work went to the worker with the most idle room as long as the serving tasks there could just
+// take it, and to their harm, while there was room beside tasks that it does not affect.
+TEST(WorkerChoice, WorkInIdleRoomGoesWhereItHarmsLeast)
+{
+    scheduler_world world;
+    fake_owner &owner = world.addOwner("host-1");
+    world.addWorker("w0", "rack-1", {10000, 64000, 0});
+    world.addWorker("w1", "rack-1", {14000, 64000, 0});
+    world.store["cw/interference"] = "heavy a 2.000\nheavy b 0.100\n";
+    world.takeOver(owner);
+    world.run(200ms);
+    world.runTime = [](const task_name &) { return duration(1000s); };
+    for (const std::string image : {"b", "a"}) { // The first one takes the smaller worker.
+        job_spec serving = plainJob(image, 1);
+        serving.steps[0].isLasting = true;
+        serving.steps[0].image = image;
+        serving.steps[0].latencyTargetMs = 100;
+        serving.steps[0].size.milliCores = 4000;
+        owner.call(job_call_kind::submit, serving.name, &serving);
+        world.run(500ms);
+    }
+    ASSERT_EQ(world.workers.at({"w0"}).runs.count({{"b"}, 0, 0, 0}), 1U);
+    ASSERT_EQ(world.workers.at({"w1"}).runs.count({{"a"}, 0, 0, 0}), 1U);
+    job_spec filling = plainJob("f", 1);
+    filling.steps[0].fillsIdleRoom = true;
+    filling.steps[0].image = "heavy";
+    owner.call(job_call_kind::submit, filling.name, &filling);
+    world.run(500ms);
+    EXPECT_EQ(world.workers.at({"w0"}).runs.count({{"f"}, 0, 0, 0}), 1U);
+}
