Give commits back that the store turns away

Cause: a job whose commit the store answered with 503 stayed in the batch that was tried again every 150 ms.

Change: the election gives a batch back if no copy of it can have taken effect (refused, or never sent). Ends and checkpoints go into the next batch; jobs that nobody was told of are refused with a Retry-After. A batch of which a copy had no answer is tried until its outcome is known, as before. The test now waits until the host's own commit is over, when the fault occurred each time.

--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -223,6 +223,12 @@
         scheduleCore();
     }
 
+    void onCommitRefused() override
+    {
+        core.onCommitRefused(loop.now());
+        scheduleCore();
+    }
+
     void onConfirmed(instant authority, instant sole) override
     {
         authorityUntil = authority;
--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -1,5 +1,6 @@
 #include "commit_log.h"
 
+#include "job_intake.h"
 #include "record_codec.h"
 #include "task_lifecycle.h"
 
@@ -16,6 +17,9 @@
 // The pause after a batch that held nothing urgent lets ends of several workers share the next.
 constexpr duration commitInterval = 60ms;
 
+/// After the store has turned a batch away.
+constexpr duration refusedCommitPause = 150ms;
+
 /// What the interference model has learned in less time is learned again soon enough.
 constexpr duration modelInterval = 3s;
 
@@ -103,6 +107,12 @@
     state.ports.answer(reply);
 }
 
+template <typename T>
+void append(std::vector<T> &all, const std::vector<T> &more)
+{
+    all.insert(all.end(), more.begin(), more.end());
+}
+
 void settleEnd(scheduler_state &state, const pending_end &end)
 {
     worker_record *worker = state.findWorker(end.worker);
@@ -249,6 +259,27 @@
     state.committingWorkers.clear();
 }
 
+void takeBackCommit(scheduler_state &state)
+{
+    state.isCommitting = false;
+    const auto refused = std::move(state.committing);
+    state.committing.clear();
+    for (const auto &[name, waiters] : refused) {
+        const auto [found, isNew] = state.waiters.try_emplace(name);
+        if (isNew)
+            state.dirtyJobs.push_back(name);
+        append(found->second.submissions, waiters.submissions);
+        append(found->second.cancellations, waiters.cancellations);
+        append(found->second.ends, waiters.ends);
+    }
+    state.isWorkerListDirty = state.isWorkerListDirty || !state.committingWorkers.empty();
+    state.committingWorkers.clear();
+    state.storedModel.clear();
+    state.nextCommitAt = state.now + refusedCommitPause;
+    if (!state.isStoreAvailable)
+        refuseUnsentJobs(state);
+}
+
 void forgetEndedJobs(scheduler_state &state)
 {
     while (!state.expiring.empty() && state.expiring.front().first <= state.now) {
--- a/packages/scheduler/commit_log.h
+++ b/packages/scheduler/commit_log.h
@@ -15,6 +15,10 @@
 /// The batch under way is durable: answers its callers and lets workers forget their ends.
 void finishCommit(scheduler_state &state);
 
+/// The last batch had no effect: what it held is written later, and jobs that nobody was told of
+/// yet are refused if the store is not available.
+void takeBackCommit(scheduler_state &state);
+
 /// Forgets ended jobs whose time has come, here and in the store.
 void forgetEndedJobs(scheduler_state &state);
 
--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -273,7 +273,7 @@
         isCommitSent = false;
         noteStore(result.has_value());
         if (!result) {
-            retryCommitAt = now + retryInterval;
+            onCommitFailed(result.error());
             return;
         }
         std::int64_t revision = result->revision;
@@ -295,6 +295,19 @@
         ports.onCommitted();
     }
 
+    // A write that the store turned away is given back, so that callers learn of it at once. One
+    // without an answer may still take effect.
+    void onCommitFailed(store_error error)
+    {
+        isEffectUnknown = isEffectUnknown || error == store_error::no_answer;
+        retryCommitAt = now + retryInterval;
+        if (isEffectUnknown)
+            return;
+        batch.reset();
+        retryCommitAt.reset();
+        ports.onCommitRefused();
+    }
+
     election_settings settings;
     election_ports &ports;
     instant now;
@@ -320,6 +333,7 @@
 
     std::optional<commit_batch> batch;
     bool isCommitSent = false;
+    bool isEffectUnknown = false; ///< An earlier copy of the batch had no answer.
     std::optional<instant> retryCommitAt;
 
     std::uint64_t lastToken = 0;
@@ -422,6 +436,7 @@
     if (i.where != implementation::stage::owner)
         return;
     i.batch = std::move(batch);
+    i.isEffectUnknown = false;
     i.sendCommit();
 }
 
--- a/packages/scheduler/owner_election.h
+++ b/packages/scheduler/owner_election.h
@@ -61,6 +61,9 @@
     /// The batch is durable.
     virtual void onCommitted() = 0;
 
+    /// The batch surely has had no effect, and is not tried again: the store turned it away.
+    virtual void onCommitRefused() = 0;
+
     /// The store has confirmed the ownership. Leases of workers may reach until \p authorityUntil;
     /// before \p soleUntil there is no other owner.
     virtual void onConfirmed(instant authorityUntil, instant soleUntil) = 0;
@@ -96,7 +99,8 @@
 
     void onStoreResult(instant now, std::uint64_t token, const store_result &result);
 
-    /// Makes a batch durable; at most one at a time, only while elected.
+    /// Makes a batch durable; at most one at a time, only while elected. A batch that may have
+    /// taken effect is tried until this is known.
     void commit(instant now, commit_batch batch);
 
     /// Gives the ownership up at once, so that another host may take it.
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -303,6 +303,15 @@
     m_implementation->proceed();
 }
 
+void scheduler_core::onCommitRefused(instant now)
+{
+    m_implementation->enter(now);
+    if (!m_implementation->state.isOwner || !m_implementation->state.isCommitting)
+        return;
+    takeBackCommit(m_implementation->state);
+    m_implementation->proceed();
+}
+
 void scheduler_core::tick(instant now, std::int64_t unixNowMs)
 {
     implementation &i = *m_implementation;
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -100,6 +100,8 @@
 
     /// The batch under way is durable.
     void onCommitted(instant now);
+    /// The store turned the batch away, which surely had no effect.
+    void onCommitRefused(instant now);
 
     /// Does what is due. To be called at nextWake() at the latest, and only after all input that
     /// had arrived before the last call: leases are judged by the time up to which input was
--- a/packages/scheduler/scheduler_ports.h
+++ b/packages/scheduler/scheduler_ports.h
@@ -99,7 +99,8 @@
     virtual void pace(const pace_order &order) = 0;
     virtual void poll(const poll_order &order) = 0;
 
-    /// Makes a batch durable; answered by scheduler_core::onCommitted(). One is under way at most.
+    /// Makes a batch durable; answered by scheduler_core::onCommitted() or onCommitRefused(). One
+    /// is under way at most.
     virtual void commit(commit_batch batch) = 0;
 
     /// Answers a call.
--- a/test/correctness/scheduler_jobs_test.cpp
+++ b/test/correctness/scheduler_jobs_test.cpp
@@ -284,6 +284,48 @@
     EXPECT_EQ(owner.replies.at(again).outcome, job_outcome::accepted);
 }
 
+// The first job that met a refusing store was kept without a durable record, and so was each
+// repetition of the call: none of them had an answer until the store was back.
+TEST_F(job_scheduling, AreRefusedWhenTheStoreTurnsTheirCommitAway)
+{
+    begin();
+    const job_spec spec = plainJob("a", 1);
+    world.isStoreRefusing = true;
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const call_token token = owner.call(job_call_kind::submit, spec.name, &spec);
+        world.run(50ms);
+        ASSERT_EQ(owner.replies.count(token), 1U);
+        EXPECT_EQ(owner.replies.at(token).outcome, job_outcome::refused);
+    }
+    world.isStoreRefusing = false;
+    owner.core.setStoreAvailable(world.now, true);
+    world.run(3s);
+    EXPECT_EQ(world.starts.size(), 0U);
+    const call_token again = owner.call(job_call_kind::submit, spec.name, &spec);
+    world.run(3s);
+    EXPECT_EQ(owner.replies.at(again).outcome, job_outcome::accepted);
+    EXPECT_EQ(world.starts.size(), 1U);
+}
+
+// Ends in a batch that was turned away are written with the next one, and acknowledged only then.
+TEST_F(job_scheduling, EndsOfARefusedCommitAreWrittenLater)
+{
+    begin();
+    const job_spec spec = plainJob("a", 3);
+    owner.call(job_call_kind::submit, spec.name, &spec);
+    world.run(500ms);
+    world.isStoreRefusing = true;
+    world.run(2s);
+    EXPECT_TRUE(world.doneNoted.empty());
+    world.isStoreRefusing = false;
+    owner.core.setStoreAvailable(world.now, true);
+    world.run(2s);
+    EXPECT_EQ(world.doneNoted.size(), 3U);
+    const call_token token = owner.call(job_call_kind::query, spec.name);
+    EXPECT_EQ(owner.replies.at(token).status, job_status::completed);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 TEST_F(job_scheduling, WhatIsNotSupportedIsRefused)
 {
     begin();
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -310,6 +310,12 @@
 {
     if (isDead || !core.isOwner())
         return;
+    if (m_world.isStoreRefusing) {
+        core.setStoreAvailable(m_world.now, false);
+        core.onCommitRefused(m_world.now);
+        wake();
+        return;
+    }
     if (m_world.isStoreDown || isCutFromStore) {
         m_world.at(m_world.now + 100ms, [this, batch] { tryCommit(batch); });
         return;
--- a/test/failure/platform_path_test.cpp
+++ b/test/failure/platform_path_test.cpp
@@ -212,6 +212,8 @@
 {
     startHost();
     ASSERT_TRUE(becomesReady(hosts[0]));
+    // Until the host has written its list of workers, that commit may be the one turned away.
+    loop.runUntil([] { return false; }, 1s);
     store.setRefusing(true);
     EXPECT_TRUE(eventually([&] { return submit(hosts[0], jobB) == 503; }));
     store.setRefusing(false);
--- a/test/failure/scheduler_election_test.cpp
+++ b/test/failure/scheduler_election_test.cpp
@@ -3,6 +3,7 @@
 
 #include "scheduler/scheduler.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <functional>
 #include <gtest/gtest.h>
@@ -110,6 +111,7 @@
     void onDeposed() override { ++deposed; }
     void onOwner(const std::optional<owner_info> &o) override { owner = o; }
     void onCommitted() override { ++committed; }
+    void onCommitRefused() override { ++commitsRefused; }
     void onConfirmed(instant, instant sole) override { soleUntil = sole; }
     void onStoreAvailable(bool isAvailable) override { storeAvailable = isAvailable; }
     void log(const std::string &, const std::string &) override { }
@@ -125,6 +127,19 @@
         }
     }
 
+    /// Turns the waiting commit away.
+    void refuse()
+    {
+        const auto isCommit = [](const auto &call) {
+            return std::holds_alternative<store_transaction>(call.second);
+        };
+        const auto found = std::find_if(waiting.begin(), waiting.end(), isCommit);
+        ASSERT_NE(found, waiting.end());
+        const std::uint64_t token = found->first;
+        waiting.erase(found);
+        election.onStoreResult(now, token, tl::unexpected(store_error::refused));
+    }
+
     /// Carries out the first waiting call without an answer.
     void loseAnswer()
     {
@@ -164,6 +179,7 @@
     std::vector<std::int64_t> elected;
     int deposed = 0;
     int committed = 0;
+    int commitsRefused = 0;
     bool storeAvailable = true;
     instant soleUntil;
     std::optional<owner_info> owner;
@@ -235,6 +251,40 @@
     EXPECT_TRUE(a.election.isOwner());
 }
 
+// A job whose commit the store had turned away was kept for another try, and its callers waited for
+// it until their deadlines.
+TEST(Election, ACommitThatTheStoreTurnsAwayIsGivenBack)
+{
+    memory_store store;
+    candidate a(store, "a");
+    a.become();
+    a.election.commit(a.now, batchOf("cw/job/1", "x"));
+    a.refuse();
+    EXPECT_EQ(a.commitsRefused, 1);
+    EXPECT_FALSE(a.storeAvailable);
+    a.election.commit(a.now, batchOf("cw/job/2", "y"));
+    a.serve();
+    EXPECT_EQ(a.committed, 1);
+    EXPECT_EQ(store.items.count("cw/job/1"), 0U);
+    EXPECT_EQ(store.items.at("cw/job/2").value, "y");
+}
+
+// The copy without an answer may have taken effect: callers must not be told that it has not.
+TEST(Election, ACommitThatMayHaveTakenEffectIsNotGivenBack)
+{
+    memory_store store;
+    candidate a(store, "a");
+    a.become();
+    a.election.commit(a.now, batchOf("cw/job/1", "x"));
+    a.loseAnswer();
+    a.pass(200ms);
+    a.refuse();
+    EXPECT_EQ(a.commitsRefused, 0);
+    a.pass(200ms);
+    a.serve();
+    EXPECT_EQ(a.committed, 1);
+}
+
 TEST(Election, ALostOwnerKeyIsWrittenAnewUnderTheSameEpoch)
 {
     memory_store store;
