Fail no job by attempts before its queue's limit is known

Cause, found by reading: an owner that is elected before it has read the configuration takes the jobs over with the default policy, whose limit is one attempt.

Change: the limit of a queue that is not known ends no job; once the limit is known, jobs that have used it up fail. Two tests; the first failed before. No task starts meanwhile, since the queue's workers are not known either.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -196,6 +196,9 @@
         state.expiring.emplace_back(state.now + state.settings.keepEndedJobs, job.spec.name);
         return;
     }
+    // An owner that has just started may not have read the configuration: until then no number of
+    // failures ends a job.
+    job.policy.attemptLimit = queue_policy::unknownAttemptLimit;
     const auto policy = state.queues.find(job.spec.queue);
     if (policy != state.queues.end())
         job.policy = policy->second;
--- a/packages/scheduler/job_model.h
+++ b/packages/scheduler/job_model.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -126,6 +127,9 @@
     std::int64_t objectiveSlackMs = 0; ///< Added to the objective.
     bool needsAdvice = false; ///< Only an advisor outside knows which workers may run a step.
 
+    /// The attempt limit of a queue that no configuration has told of yet.
+    static constexpr int unknownAttemptLimit = std::numeric_limits<int>::max();
+
     friend bool operator==(const queue_policy &a, const queue_policy &b)
     {
         return std::tie(a.queue, a.service, a.priority, a.attemptLimit, a.stretch,
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -203,7 +203,10 @@
         const auto policy = i.state.queues.find(job->spec.queue);
         if (policy == i.state.queues.end())
             continue;
+        const bool wasUnknown = job->policy.attemptLimit == queue_policy::unknownAttemptLimit;
         job->policy = policy->second;
+        if (wasUnknown)
+            failIfExhausted(i.state, *job);
     }
     i.state.isDispatchWanted = true;
     i.proceed();
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -129,6 +129,11 @@
     return task.phase == task_phase::unlocated && end.run > task.countedRun;
 }
 
+bool isExhausted(const job_record &job, const task_state &task)
+{
+    return int(task.failedRuns.size()) >= job.policy.attemptLimit;
+}
+
 bool hasFailedRun(const task_state &task, int run)
 {
     return std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end();
@@ -140,7 +145,7 @@
     if (!hasFailedRun(task, end.run))
         task.failedRuns.push_back(end.run);
     markDirty(state, job).ends.push_back(pending);
-    if (int(task.failedRuns.size()) >= job.policy.attemptLimit)
+    if (isExhausted(job, task))
         failJob(state, job, end.task, int(task.failedRuns.size()));
 }
 
@@ -434,6 +439,27 @@
     state.ports.stop({task.worker, name, task.lastRun, state.epoch});
 }
 
+void failIfExhausted(scheduler_state &state, job_record &job)
+{
+    if (job.isOver())
+        return;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (int step = 0; step < int(occurrence.steps.size()); ++step) {
+            const auto &tasks = occurrence.steps[std::size_t(step)];
+            const auto exhausted
+                = std::find_if(tasks.begin(), tasks.end(), [&](const task_state &task) {
+                      return task.phase != task_phase::done && isExhausted(job, task);
+                  });
+            if (exhausted == tasks.end())
+                continue;
+            const int index = int(exhausted - tasks.begin());
+            failJob(state, job, {job.spec.name, number, step, index},
+                    int(exhausted->failedRuns.size()));
+            return;
+        }
+    }
+}
+
 void dropTasks(scheduler_state &state, job_record &job)
 {
     for (auto &[number, occurrence] : job.occurrences) {
--- a/packages/scheduler/task_lifecycle.h
+++ b/packages/scheduler/task_lifecycle.h
@@ -32,6 +32,9 @@
 /// Handles an end that \p worker has listed.
 void handleEnd(scheduler_state &state, worker_record &worker, const ended_report &end);
 
+/// Fails the job if one of its tasks has used up its attempts, once the limit is known.
+void failIfExhausted(scheduler_state &state, job_record &job);
+
 /// All runs on the worker are gone without a listed end.
 void loseRuns(scheduler_state &state, worker_record &worker, const char *reason);
 
--- a/test/failure/scheduler_takeover_test.cpp
+++ b/test/failure/scheduler_takeover_test.cpp
@@ -4,6 +4,7 @@
 #include "correctness/scheduler_world.h"
 
 #include <gtest/gtest.h>
+#include <utility>
 
 using namespace crocuswind;
 using namespace crocuswind::scheduler;
@@ -40,6 +41,15 @@
         return spec;
     }
 
+    // Lets all present runs end with a failure.
+    void failRuns()
+    {
+        for (auto &[id, worker] : world.workers) {
+            for (auto &[task, run] : worker.runs)
+                run.willFail = true;
+        }
+    }
+
     int startsOfAll() const
     {
         int sum = 0;
@@ -84,6 +94,36 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// An owner that was elected right after its start had not read the configuration yet: it took one
+// failed run for the end of a job that may fail three times.
+TEST_F(takeover, AFailedRunBeforeTheConfigurationIsKnownDoesNotEndTheJob)
+{
+    const job_spec spec = startAndKillOwner(2, 1s);
+    failRuns();
+    const auto queues = std::exchange(world.queues, {});
+    world.takeOver(second);
+    world.run(1500ms);
+    EXPECT_EQ(status(second, spec), job_status::running);
+    second.core.setQueues(world.now, queues);
+    world.run(4s);
+    EXPECT_EQ(status(second, spec), job_status::completed);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+TEST_F(takeover, AttemptsUsedUpBeforeTheConfigurationIsKnownEndTheJobThen)
+{
+    const job_spec spec = startAndKillOwner(1, 1s);
+    failRuns();
+    auto queues = std::exchange(world.queues, {});
+    queues[0].attemptLimit = 1;
+    world.takeOver(second);
+    world.run(1500ms);
+    second.core.setQueues(world.now, queues);
+    world.run(3s);
+    EXPECT_EQ(status(second, spec), job_status::failed);
+    EXPECT_EQ(world.starts.at({spec.name, 0, 0, 0}), 1);
+}
+
 // The lease that an adopted run has from the former owner was taken for lapsed before the new owner
 // had renewed it.
 TEST_F(takeover, DoesNotTakeAnInheritedLeaseForLapsed)
