--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -300,9 +300,10 @@
     void onCommitFailed(store_error error)
     {
         isEffectUnknown = isEffectUnknown || error == store_error::no_answer;
-        retryCommitAt = now + retryInterval;
-        if (isEffectUnknown)
+        if (isEffectUnknown) {
+            retryCommitAt = now + retryInterval;
             return;
+        }
         batch.reset();
         retryCommitAt.reset();
         ports.onCommitRefused();
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -93,7 +93,7 @@
     return worker.filling.size() - worker.filling.count(step.image);
 }
 
-// Returns true if a task of the step beside \p serving would use more than is budget.
+// Returns true if a task of the step beside \p serving would use more than these tasks can take.
 bool isBlocked(const interference_model &model, const std::string &filling,
                const std::string &serving)
 {
