Settle a commit by its own answer and its own number only

Causes, each shown by a test that failed first: an answer to a commit of a former epoch counted for the one under way, which could be given back although it took effect; and the owner's key, written anew without an answer, carried the number of the next commit, which then took it for itself and counted as durable without being in the store. Its ends were acknowledged and forgotten.

Change: answers are matched with the call that carries the commit; every batch and every key has a number of its own within an epoch, and a commit that loses to our own key is sent again. The tests of one commit share a fixture.

Ruled out for the finding: the HTTP client calling a sent request unsent, and stale reads of records. Not proved that one of these causes was behind it.

--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -130,10 +130,11 @@
     {
         pendingChain = chain;
         if (where == stage::owner) {
-            ++pendingChain.commit;
+            pendingChain.commit = ++lastCommit;
         } else {
             ++pendingChain.epoch;
             pendingChain.commit = 0;
+            lastCommit = 0;
         }
         pendingChain.host = settings.host.value;
         const owner_info self{settings.host, settings.address, pendingChain.epoch};
@@ -177,6 +178,7 @@
                 depose("key_taken");
             else
                 isKeyLost = true;
+            unansweredChain = pendingChain;
             return;
         }
         // Without an answer the write may have taken effect: the watch shows our own key, which
@@ -252,7 +254,7 @@
         if (isAcquiringAgain)
             return;
         pendingChain = chain;
-        ++pendingChain.commit;
+        pendingChain.commit = batchCommit;
         store_transaction transaction;
         transaction.compares.push_back({epochKey(settings.keyPrefix),
                                         store_compare::property::mod_revision,
@@ -264,6 +266,7 @@
             transaction.deletes.push_back({key});
         isCommitSent = true;
         send(call_kind::commit, transaction, commitLimit);
+        commitToken = lastToken;
     }
 
     void onCommitResult(const store_result &result, instant sentAt)
@@ -281,6 +284,14 @@
             // An earlier copy of this very commit may have taken effect without an answer.
             const store_entry *entry = findEntry(*result, epochKey(settings.keyPrefix));
             const bool isOurs = entry != nullptr && entry->value == toText(pendingChain);
+            if (!isOurs && entry != nullptr && unansweredChain
+                && entry->value == toText(*unansweredChain)) {
+                // Our own key, written anew without an answer, is what this commit lost to.
+                chain = *std::exchange(unansweredChain, std::nullopt);
+                chainRevision = entry->modRevision;
+                retryCommitAt = now;
+                return;
+            }
             if (!isOurs) {
                 depose("fenced");
                 return;
@@ -295,7 +306,7 @@
         ports.onCommitted();
     }
 
-    // A write that the store turned away is given back, so that callers learn of it at once. One
+    // A write that the store refused is given back, so that callers learn of it at once. One
     // without an answer may still take effect.
     void onCommitFailed(store_error error)
     {
@@ -323,6 +334,11 @@
     std::int64_t lease = 0;
     chain_value chain;
     chain_value pendingChain;
+    std::optional<chain_value> unansweredChain; ///< Of the owner's key, written without an answer.
+    /// Each batch and each key has a number of its own: a write without an answer is recognised by
+    /// it, and must not be taken for another one.
+    std::int64_t lastCommit = 0;
+    std::int64_t batchCommit = 0; ///< Number of the batch under way.
     std::int64_t chainRevision = 0;
     instant soleUntil; ///< Before, the lease of the owner's key cannot have lapsed.
     instant nextRenewAt;
@@ -334,6 +350,7 @@
 
     std::optional<commit_batch> batch;
     bool isCommitSent = false;
+    std::uint64_t commitToken = 0; ///< Of the last commit; earlier ones may be answered after it.
     bool isEffectUnknown = false; ///< An earlier copy of the batch had no answer.
     std::optional<instant> retryCommitAt;
 
@@ -421,7 +438,8 @@
         i.onRenewed(result, call.sentAt);
         break;
     case implementation::call_kind::commit:
-        i.onCommitResult(result, call.sentAt);
+        if (token == i.commitToken)
+            i.onCommitResult(result, call.sentAt);
         break;
     case implementation::call_kind::revoke:
         break;
@@ -438,6 +456,7 @@
         return;
     i.batch = std::move(batch);
     i.isEffectUnknown = false;
+    i.batchCommit = ++i.lastCommit;
     i.sendCommit();
 }
 
--- a/packages/scheduler/owner_election.h
+++ b/packages/scheduler/owner_election.h
@@ -61,7 +61,7 @@
     /// The batch is durable.
     virtual void onCommitted() = 0;
 
-    /// The batch surely has had no effect, and is not tried again: the store turned it away.
+    /// The batch surely has had no effect, and is not tried again: the store refused it.
     virtual void onCommitRefused() = 0;
 
     /// The store has confirmed the ownership. Leases of workers may reach until \p authorityUntil;
--- a/test/failure/scheduler_election_test.cpp
+++ b/test/failure/scheduler_election_test.cpp
@@ -127,7 +127,14 @@
         }
     }
 
-    /// Turns the waiting commit away.
+    void carryOutFirst()
+    {
+        const auto [token, operation] = waiting.front();
+        waiting.erase(waiting.begin());
+        election.onStoreResult(now, token, store.apply(operation));
+    }
+
+    /// Refuses the waiting commit.
     void refuse()
     {
         const auto isCommit = [](const auto &call) {
@@ -235,12 +242,26 @@
     EXPECT_EQ(a.committed, 0);
 }
 
-TEST(Election, ACommitWithoutAnAnswerIsRecognised)
+namespace {
+
+/// An owner whose first commit has been sent.
+struct sent_commit : testing::Test
 {
+    sent_commit()
+        : a(store, "a")
+    {
+        a.become();
+        a.election.commit(a.now, batchOf("cw/job/1", "x"));
+    }
+
     memory_store store;
-    candidate a(store, "a");
-    a.become();
-    a.election.commit(a.now, batchOf("cw/job/1", "x"));
+    candidate a;
+};
+
+} // namespace
+
+TEST_F(sent_commit, IsRecognisedWithoutAnAnswer)
+{
     a.loseAnswer();
     EXPECT_EQ(a.committed, 0);
     EXPECT_FALSE(a.storeAvailable);
@@ -251,14 +272,10 @@
     EXPECT_TRUE(a.election.isOwner());
 }
 
-// A job whose commit the store had turned away was kept for another try, and its callers waited for
-// it until their deadlines.
-TEST(Election, ACommitThatTheStoreTurnsAwayIsGivenBack)
+// A job whose commit the store had refused was kept for another try, and its callers waited for it
+// until their deadlines.
+TEST_F(sent_commit, IsGivenBackIfTheStoreRefusesIt)
 {
-    memory_store store;
-    candidate a(store, "a");
-    a.become();
-    a.election.commit(a.now, batchOf("cw/job/1", "x"));
     a.refuse();
     EXPECT_EQ(a.commitsRefused, 1);
     EXPECT_FALSE(a.storeAvailable);
@@ -270,12 +287,8 @@
 }
 
 // The copy without an answer may have taken effect: callers must not be told that it has not.
-TEST(Election, ACommitThatMayHaveTakenEffectIsNotGivenBack)
+TEST_F(sent_commit, IsNotGivenBackIfItMayHaveTakenEffect)
 {
-    memory_store store;
-    candidate a(store, "a");
-    a.become();
-    a.election.commit(a.now, batchOf("cw/job/1", "x"));
     a.loseAnswer();
     a.pass(200ms);
     a.refuse();
@@ -285,6 +298,48 @@
     EXPECT_EQ(a.committed, 1);
 }
 
+// The answer to a commit of the former epoch was taken for that of the commit under way, which was
+// given back although it took effect.
+TEST_F(sent_commit, OfAFormerEpochDoesNotAnswerForALaterOne)
+{
+    const std::uint64_t formerToken = a.waiting.front().first;
+    a.waiting.clear();
+    store.endLease(store.lastLease);
+    candidate b(store, "b");
+    b.become();
+    a.seeOwner();
+    ASSERT_EQ(a.deposed, 1);
+    store.endLease(store.lastLease);
+    a.become();
+    ASSERT_TRUE(a.election.isOwner());
+    a.election.commit(a.now, batchOf("cw/job/2", "y"));
+    a.election.onStoreResult(a.now, formerToken, tl::unexpected(store_error::refused));
+    EXPECT_EQ(a.commitsRefused, 0);
+    a.serve();
+    EXPECT_EQ(a.committed, 1);
+}
+
+// The owner's key was written anew without an answer. The next commit lost to it, found the number
+// of this write in the store, took it for its own and counted as durable.
+TEST(Election, AKeyWrittenWithoutAnAnswerIsNotTakenForTheNextCommit)
+{
+    memory_store store;
+    candidate a(store, "a");
+    a.become();
+    store.endLease(store.lastLease);
+    a.seeOwner();
+    a.carryOutFirst(); // The grant of a new lease.
+    a.loseAnswer();
+    a.election.commit(a.now, batchOf("cw/job/1", "x"));
+    a.serve();
+    EXPECT_EQ(a.committed, int(store.items.count("cw/job/1")));
+    a.pass(10ms);
+    a.serve();
+    EXPECT_EQ(a.committed, 1);
+    EXPECT_EQ(store.items.count("cw/job/1"), 1U);
+    EXPECT_EQ(a.deposed, 0);
+}
+
 TEST(Election, ALostOwnerKeyIsWrittenAnewUnderTheSameEpoch)
 {
     memory_store store;
