Ignore refusals of a former owner for calls repeated to the next

At 38.0 s an owner that had just lost its key accepted jobs, found its commit fenced or refused 0.24 s later and refused them; the hosts had repeated the calls to the new owner by then, which accepted them. Callers got 503 for jobs that ran.

Cause: job_router finished a call with any answer of any owner, also with the refusal of one that had been replaced.

Change: what an owner says that it has not done counts only if it is the last that was asked. What it says that it has done counts always. Four tests, two of which failed first.

--- a/packages/jobs/job_router.cpp
+++ b/packages/jobs/job_router.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// A new owner is usually at work within this time; calls wait for it. After that they are refused
-/// at once until there is one.
+/// A new owner has usually taken over within this time; calls wait for it. After that they are
+/// refused at once until there is one.
 constexpr duration ownerChangeLimit = 2500ms;
 
 /// When to come back while no owner can be reached.
@@ -27,6 +27,12 @@
     return call.kind == job_call_kind::submit || call.kind == job_call_kind::cancel;
 }
 
+bool deniesEffect(job_outcome outcome)
+{
+    return outcome == job_outcome::refused || outcome == job_outcome::not_found
+        || outcome == job_outcome::not_owner;
+}
+
 } // namespace
 
 job_router::job_router(event_loop &loop, job_call_sender sender)
@@ -64,11 +70,11 @@
 {
     if (!m_owner || pending.sentTo)
         return;
-    const bool isRepeat = pending.wasSent;
+    const std::optional<host_id> before = pending.lastSentTo;
     pending.call.timeLeftMs = millisecondsLeft(m_loop.now(), pending.deadline);
     // The answer may come from within the call and end it.
     pending.sentTo = m_owner;
-    pending.wasSent = true;
+    pending.lastSentTo = m_owner;
     const call_token token = pending.call.token;
     const bool isSent = m_sender(*m_owner, pending.call);
     const auto found = m_pending.find(token);
@@ -76,10 +82,10 @@
         return;
     if (!isSent) {
         found->second.sentTo.reset();
-        found->second.wasSent = isRepeat;
+        found->second.lastSentTo = before;
         return;
     }
-    if (isRepeat)
+    if (before)
         ++m_counters.repeats;
 }
 
@@ -140,6 +146,9 @@
     if (found == m_pending.end())
         return;
     pending_call &pending = found->second;
+    // What a former owner says that it has not done, the one that was asked after it may do.
+    if (deniesEffect(reply.outcome) && pending.lastSentTo != from)
+        return;
     if (reply.outcome != job_outcome::not_owner) {
         finish(reply.token, reply);
         return;
@@ -166,7 +175,7 @@
     job_reply reply;
     reply.token = token;
     reply.outcome = job_outcome::no_answer;
-    if (!pending.wasSent || !changesSomething(pending.call)) {
+    if (!pending.lastSentTo || !changesSomething(pending.call)) {
         reply.outcome = job_outcome::refused;
         reply.reason = "no host owns the jobs at present";
         reply.retryAfterMs = noOwnerRetryMs;
--- a/packages/jobs/job_router.h
+++ b/packages/jobs/job_router.h
@@ -59,7 +59,7 @@
         instant deadline;
         done_callback done;
         std::optional<host_id> sentTo; ///< Whose answer is awaited.
-        bool wasSent = false; ///< An owner may have carried it out.
+        std::optional<host_id> lastSentTo; ///< An owner that may have carried it out.
         timer_id timer = 0;
         timer_id resend = 0;
     };
--- /dev/null
+++ b/test/failure/job_router_test.cpp
@@ -0,0 +1,93 @@
+// Guards against answers of a former owner that contradict what the present one does with a call.
+
+#include "jobs/job_router.h"
+
+#include <gtest/gtest.h>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace crocuswind;
+using scheduler::job_call;
+using scheduler::job_call_kind;
+using scheduler::job_outcome;
+using scheduler::job_reply;
+
+namespace {
+
+/// A call that was sent to one owner and then repeated to the next.
+struct repeated_call : testing::Test
+{
+    repeated_call()
+        : router(loop, [this](const host_id &to, const job_call &call) {
+            sent.emplace_back(to, call.token);
+            return true;
+        })
+    {
+        becomesOwner(former);
+        job_call call;
+        call.kind = job_call_kind::submit;
+        call.name.value = "a";
+        router.call(call, loop.now() + 60s, [this](const job_reply &reply) { answer = reply; });
+        becomesOwner(present);
+    }
+
+    void becomesOwner(const host_id &host)
+    {
+        router.setOwner(host);
+        router.onPathUp(host);
+    }
+
+    void reply(const host_id &from, job_outcome outcome)
+    {
+        job_reply reply;
+        reply.token = sent.front().second;
+        reply.outcome = outcome;
+        router.onReply(from, reply);
+    }
+
+    const host_id former{"host-1"};
+    const host_id present{"host-2"};
+    event_loop loop;
+    std::vector<std::pair<host_id, scheduler::call_token>> sent;
+    std::optional<job_reply> answer;
+    job_router router;
+};
+
+} // namespace
+
+// A former owner that could not commit a job refused it after the call had been repeated to the
+// next owner, which accepted the job: the caller was told that it never runs, and it ran.
+TEST_F(repeated_call, IsNotRefusedByTheFormerOwner)
+{
+    ASSERT_EQ(sent.size(), 2U);
+    reply(former, job_outcome::refused);
+    EXPECT_FALSE(answer.has_value());
+    reply(present, job_outcome::accepted);
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->outcome, job_outcome::accepted);
+}
+
+TEST_F(repeated_call, IsNotRefusedByTheFormerOwnerWhileThePresentOneCannotBeReached)
+{
+    router.onPathDown(present);
+    reply(former, job_outcome::not_found);
+    EXPECT_FALSE(answer.has_value());
+    router.onPathUp(present);
+    EXPECT_EQ(sent.size(), 3U);
+}
+
+TEST_F(repeated_call, IsAcceptedByTheFormerOwnerAllTheSame)
+{
+    reply(former, job_outcome::accepted);
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->outcome, job_outcome::accepted);
+}
+
+TEST_F(repeated_call, IsRefusedByThePresentOwner)
+{
+    reply(present, job_outcome::refused);
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->outcome, job_outcome::refused);
+}
