Poll workers whose ends wait for the store

Cause, found by reading: a worker with ends that are not durable was polled again after 10 s or after the commit. While the store was away for more than 6 s, the leases of its other runs lapsed, though the owner may keep them for 8 s. The test fails without the change: the runs start a second time.

Change: such workers are polled every 2 s. In normal operation the commit comes 60 ms later and brings the poll forward as before, so that there are no more polls.

--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -20,6 +20,10 @@
 constexpr duration pollPause = 40ms;
 /// A worker with nothing to tell is looked at this often, for its clock and its incarnation.
 constexpr duration idlePollInterval = 10s;
+
+/// Of workers with ends that are not durable yet, which the commit brings forward. During an outage
+/// of the store these polls keep the leases of the other runs there.
+constexpr duration unsettledPollInterval = 2s;
 /// A worker that does not answer is asked again after this time.
 constexpr duration failedPollInterval = 250ms;
 /// Runs are given up only after this many polls in a row without an answer.
@@ -177,7 +181,7 @@
 void scheduleNextPoll(scheduler_state &state, worker_record &worker)
 {
     if (worker.ends.hasUnsettled())
-        state.schedulePoll(worker, state.now + idlePollInterval); // Brought forward by the commit.
+        state.schedulePoll(worker, state.now + unsettledPollInterval);
     else if (isWorthPolling(worker))
         state.schedulePoll(worker, state.now + pollPause);
     else
--- a/test/correctness/scheduler_jobs_test.cpp
+++ b/test/correctness/scheduler_jobs_test.cpp
@@ -286,7 +286,7 @@
 
 // The first job that met a refusing store was kept without a durable record, and so was each
 // repetition of the call: none of them had an answer until the store was back.
-TEST_F(job_scheduling, AreRefusedWhenTheStoreTurnsTheirCommitAway)
+TEST_F(job_scheduling, AreRefusedWhenTheStoreRefusesTheirCommit)
 {
     begin();
     const job_spec spec = plainJob("a", 1);
@@ -307,7 +307,7 @@
     EXPECT_EQ(world.starts.size(), 1U);
 }
 
-// Ends in a batch that was turned away are written with the next one, and acknowledged only then.
+// Ends in a batch that was refused are written with the next one, and acknowledged only then.
 TEST_F(job_scheduling, EndsOfARefusedCommitAreWrittenLater)
 {
     begin();
@@ -326,6 +326,21 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// A worker with ends that could not be written was not polled any more, so that the leases of the
+// other runs there lapsed in a store outage that is shorter than the owner's authority.
+TEST_F(job_scheduling, RunsBesideAnEndThatIsNotDurableKeepTheirLease)
+{
+    begin();
+    const job_spec spec = plainJob("a", 4);
+    world.runTime = [](const task_name &task) { return task.index == 0 ? 1s : 20s; };
+    owner.call(job_call_kind::submit, spec.name, &spec);
+    world.run(500ms);
+    world.isStoreRefusing = true;
+    world.run(12s);
+    for (const auto &[task, starts] : world.starts)
+        EXPECT_EQ(starts, 1) << toString(task);
+}
+
 TEST_F(job_scheduling, WhatIsNotSupportedIsRefused)
 {
     begin();
