--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -17,7 +17,7 @@
 // The pause after a batch that held nothing urgent lets ends of several workers share the next.
 constexpr duration commitInterval = 60ms;
 
-/// After the store has turned a batch away.
+/// After the store has refused a batch.
 constexpr duration refusedCommitPause = 150ms;
 
 /// What the interference model has learned in less time is learned again soon enough.
--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -40,7 +40,7 @@
 // Work that can still meet its objective goes before work that cannot: with more work than room,
 // going on with the oldest first would make every job late. Lasting tasks come in between: room
 // that one of them takes is gone for good, while finite work that is in time gives it back within
-// seconds and is worth more for it. Then the queue's priority decides, then the time at which the
+// seconds. Then the queue's priority decides, then the time at which the
 // rest of the chain of steps has to begin.
 struct urgency
 {
--- a/packages/scheduler/interference_model.h
+++ b/packages/scheduler/interference_model.h
@@ -32,7 +32,8 @@
     /// target that is aimed at.
     double targetUtilisation(const std::string &serving) const;
 
-    /// Returns the utilisation that \p serving gains for each worker's worth of \p filling.
+    /// Returns the utilisation that \p serving gains if \p filling uses all processors of a
+    /// worker.
     double coefficient(const std::string &filling, const std::string &serving) const;
 
     /// Returns a small number that stands for the serving image.
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -107,11 +107,12 @@
 /// Returns what callers are told. An end is told only once it is durable.
 job_status statusOf(const job_record &job);
 
-/// When the worth of an occurrence falls.
+/// By when an occurrence is to end.
 struct job_objective
 {
     instant at; ///< Later ends are late.
-    instant lateUntil; ///< Later ends are worth nothing to the caller, but are owed.
+    instant
+        lateUntil; ///< Later ends are of no use to the caller; the job is finished all the same.
 };
 
 /// Returns the objective by the queue's policy: a multiple of the longest chain of work, counted
--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -14,8 +14,8 @@
 constexpr double minHeadroom = 0.05;
 
 /// Above this ratio of latency to target the pace is cut at once, whatever the model says.
-constexpr double harmRatio = 1.0;
-constexpr double harmCut = 0.4;
+constexpr double overTargetRatio = 1.0;
+constexpr double overTargetCut = 0.4;
 
 /// Work that causes less than this part of the interference is not slowed down for it.
 constexpr double minBlamedPart = 0.15;
@@ -119,8 +119,8 @@
         if (demand <= 0 || own < demand * minBlamedPart)
             continue;
         factor = std::min(factor, headroom(model, name, serving.load) / demand);
-        if (serving.latencyRatio > harmRatio)
-            factor = std::min(factor, worker.filling.at(image).pacePercent * harmCut / 100);
+        if (serving.latencyRatio > overTargetRatio)
+            factor = std::min(factor, worker.filling.at(image).pacePercent * overTargetCut / 100);
     }
     const int percent = int(factor * 100) / paceStepPercent * paceStepPercent;
     return percent < minPacePercent ? 0 : percent;
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -100,7 +100,7 @@
 
     /// The batch under way is durable.
     void onCommitted(instant now);
-    /// The store turned the batch away, which surely had no effect.
+    /// The store refused the batch, which surely had no effect.
     void onCommitRefused(instant now);
 
     /// Does what is due. To be called at nextWake() at the latest, and only after all input that
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -25,7 +25,8 @@
 // What it costs to bring a serving image to a worker, as shares of its processors. Idle room beside
 // no serving task takes all work. Each image of work harms one or two serving images of five, so it
 // finds room beside a single image on most workers, beside three on few: mixing costs more than a
-// whole worker. It costs more with each image of work that the new one does not bear.
+// whole worker. It costs more with each image of work that interferes too much with the new
+// one.
 constexpr double firstServingShare = 0.75;
 constexpr double otherServingShare = 3;
 constexpr double newlyBlockedShare = 0.5;
@@ -33,8 +34,8 @@
 /// Of each other image in the idle room: few images on a worker tell more about each other.
 constexpr double otherImageCost = 4000;
 
-/// Of a pressure of 1, in thousandths of a core of idle room. Work goes where it harms little as
-/// long as there is such a place; by idle room alone it went to any worker that could just take it.
+/// Of a pressure of 1, in thousandths of a core of idle room. By idle room alone, work went to
+/// any worker whose serving tasks could just take it.
 constexpr double pressureCost = 20000;
 
 bool hasLabel(const worker_info &info, const std::string &label)
--- a/test/correctness/scheduler_interference_test.cpp
+++ b/test/correctness/scheduler_interference_test.cpp
@@ -215,7 +215,7 @@
 }
 
 // Work went to the worker with the most idle room as long as the serving tasks there could just
-// take it, and to their harm, while there was room beside tasks that it does not affect.
+// take it, while there was room beside tasks that it does not affect.
 TEST(WorkerChoice, WorkInIdleRoomGoesWhereItHarmsLeast)
 {
     scheduler_world world;
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -146,7 +146,7 @@
     std::map<std::string, std::string> store;
     std::int64_t storeEpoch = 0;
     bool isStoreDown = false;
-    bool isStoreRefusing = false; ///< Commits are turned away without effect.
+    bool isStoreRefusing = false; ///< Commits are refused without effect.
     std::vector<queue_policy> queues;
     std::map<job_name, job_spec> specs;
     std::function<duration(const task_name &)> runTime = [](const task_name &) { return 1s; };
--- a/test/failure/platform_path_test.cpp
+++ b/test/failure/platform_path_test.cpp
@@ -212,7 +212,7 @@
 {
     startHost();
     ASSERT_TRUE(becomesReady(hosts[0]));
-    // Until the host has written its list of workers, that commit may be the one turned away.
+    // Until the host has written its list of workers, that commit may be the one refused.
     loop.runUntil([] { return false; }, 1s);
     store.setRefusing(true);
     EXPECT_TRUE(eventually([&] { return submit(hosts[0], jobB) == 503; }));
--- a/test/failure/scheduler_faults_test.cpp
+++ b/test/failure/scheduler_faults_test.cpp
@@ -15,7 +15,7 @@
     owner.call(job_call_kind::submit, spec.name, &spec);
 }
 
-/// An owner at work with a few equal workers.
+/// An owner with a few equal workers.
 struct small_fleet
 {
     explicit small_fleet(int workers)
@@ -196,7 +196,7 @@
     EXPECT_GT(std::count(owner.events.begin(), owner.events.end(), "worker_avoided"), 0);
 }
 
-/// From this seed on, the store also turns commits away.
+/// From this seed on, the store also refuses commits.
 constexpr std::uint64_t refusingSeeds = 100000;
 
 // One storm of faults after the other over two owners, by seed. Every job must end, and no
--- a/test/failure/scheduler_late_success_test.cpp
+++ b/test/failure/scheduler_late_success_test.cpp
@@ -1,7 +1,7 @@
 // Guards against room that is taken for free while a run that was started in vain still uses it.
 // The test delivers orders' answers and reports itself, so that they can overtake each other.
 
-#include "scheduler/scheduler.h"
+#include "correctness/job_submission.h"
 
 #include <deque>
 #include <gtest/gtest.h>
@@ -61,18 +61,10 @@
 
     void submit(const std::string &name)
     {
-        job_call call;
-        call.kind = job_call_kind::submit;
-        call.name.value = name;
-        call.queue.value = "q";
-        call.spec = job_spec();
-        call.spec->name.value = name;
-        call.spec->queue.value = "q";
         step_spec step;
         step.count = 1;
         step.size = {1000, 100, 0};
-        call.spec->steps = {step};
-        core.call(now, 0, call);
+        core.call(now, 0, submissionOf(name, step));
         pass(100ms);
     }
 
--- a/test/performance/scheduler_decision_benchmark.cpp
+++ b/test/performance/scheduler_decision_benchmark.cpp
@@ -2,7 +2,7 @@
 // time for a start with its end, and state for each job. Prints figures; asserts nothing.
 // Usage: scheduler_decision_benchmark [SECONDS-OF-WORK]
 
-#include "scheduler/scheduler.h"
+#include "correctness/job_submission.h"
 
 #include <chrono>
 #include <cstdio>
@@ -72,19 +72,12 @@
 
     void submit(const std::string &name, int tasks, bool isLasting)
     {
-        job_call call;
-        call.kind = job_call_kind::submit;
-        call.name.value = name;
-        call.queue.value = "q";
-        call.spec = job_spec();
-        call.spec->name.value = name;
-        call.spec->queue.value = "q";
-        call.spec->payload = std::string(1200, 'x');
         step_spec step;
         step.count = tasks;
         step.size = {1500, 6000, 0};
         step.isLasting = isLasting;
-        call.spec->steps = {step};
+        job_call call = submissionOf(name, step);
+        call.spec->payload = std::string(1200, 'x');
         core.call(now, 0, call);
     }
 
