Say whether the owner keeps up, and keep lines on ownership in a full log

Lines of single calls, tasks and orders have a level of their own, detail, and leave half of the log's burst to the others.

--- a/packages/io/event_loop.cpp
+++ b/packages/io/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "libevent_time.h"
 
+#include <algorithm>
 #include <csignal>
 #include <ctime>
 #include <event2/event.h>
@@ -100,6 +101,7 @@
     void reportIfLate(instant due)
     {
         const instant current = now();
+        worstLateness = std::max(worstLateness, current - due);
         const duration late = current - std::max(due, reportedUntil);
         if (late <= pauseThreshold)
             return;
@@ -155,6 +157,7 @@
     duration unixOffset = duration::zero();
     instant heartbeatDue;
     instant reportedUntil;
+    duration worstLateness = duration::zero();
     timer_id lastTimer = 0;
     // One ordered set behind one event of libevent: events of their own fire out of order when the
     // thread is held up between reading the clock and adding the event.
@@ -239,6 +242,11 @@
     m_implementation->onPause = std::move(function);
 }
 
+duration event_loop::takeWorstLateness()
+{
+    return std::exchange(m_implementation->worstLateness, duration::zero());
+}
+
 void event_loop::run()
 {
     event_base_loop(m_implementation->base, EVLOOP_NO_EXIT_ON_EMPTY);
--- a/packages/io/log_output.cpp
+++ b/packages/io/log_output.cpp
@@ -39,7 +39,9 @@
     const double seconds = double((now - m_tokensAt).count()) / 1e6;
     m_tokensAt = now;
     m_tokens = std::min(m_settings.burstLines, m_tokens + seconds * m_settings.linesPerSecond);
-    if (m_tokens < 1 && level < log_level::warning)
+    const double reserve
+        = level < log_level::info ? m_settings.detailReserve * m_settings.burstLines : 0;
+    if (m_tokens < 1 + reserve && level < log_level::warning)
         return false;
     m_tokens -= 1;
     return true;
--- a/packages/io/log_output.h
+++ b/packages/io/log_output.h
@@ -16,8 +16,9 @@
 struct log_output_settings
 {
     int descriptor = 1; ///< Standard output; it is switched to non-blocking mode.
-    double linesPerSecond = 600; ///< Beyond, and beyond the burst, lines of level info are dropped.
+    double linesPerSecond = 600; ///< Beyond, and beyond the burst, lines below warning are dropped.
     double burstLines = 4000;
+    double detailReserve = 0.5; ///< Part of the burst that lines of level detail leave to others.
     std::size_t maxBufferedBytes
         = 512 * 1024; ///< Held for a slow reader; further lines are dropped.
 };
--- a/packages/io/logger.cpp
+++ b/packages/io/logger.cpp
@@ -9,7 +9,7 @@
 
 struct log_output
 {
-    log_level lowest = log_level::info;
+    log_level lowest = log_level::detail;
     std::function<void(log_level, std::string_view)> sink;
 };
 
@@ -24,6 +24,8 @@
     switch (level) {
     case log_level::debug:
         return "debug";
+    case log_level::detail:
+        return "detail";
     case log_level::info:
         return "info";
     case log_level::warning:
--- a/packages/io/logger.h
+++ b/packages/io/logger.h
@@ -9,10 +9,11 @@
 
 namespace crocuswind {
 
-/// How important a line is; lines below the process's level are not written.
-enum class log_level { debug, info, warning, error };
+/// How important a line is; lines below the process's level are not written. Lines of single
+/// requests, tasks and orders are `detail`, those of what the process believes of the world `info`.
+enum class log_level { debug, detail, info, warning, error };
 
-/// Sets the lowest level that is written, for the whole process. The default is `info`.
+/// Sets the lowest level that is written, for the whole process. The default is `detail`.
 void setLogLevel(log_level lowest);
 
 /// Sends lines to \p sink instead of standard error; an empty function restores standard error.
@@ -31,6 +32,11 @@
         write(log_level::debug, format, fmt::make_format_args(v...));
     }
     template <class... values>
+    void detail(fmt::format_string<values...> format, values &&...v) const
+    {
+        write(log_level::detail, format, fmt::make_format_args(v...));
+    }
+    template <class... values>
     void info(fmt::format_string<values...> format, values &&...v) const
     {
         write(log_level::info, format, fmt::make_format_args(v...));
--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -244,7 +244,7 @@
         order.saved = task.saved;
         order.leaseUntilMs = worker.lease.grantUntil(*leaseEnd(m_state), m_state.now);
         order.epoch = m_state.epoch;
-        m_state.ports.log(
+        m_state.ports.logDetail(
             "start",
             fmt::format("job={} task={} run={} worker={} free_millicores={} filling_millicores={} "
                         "resumes={}",
--- a/packages/scheduler/evacuation.cpp
+++ b/packages/scheduler/evacuation.cpp
@@ -31,9 +31,9 @@
             continue;
         if (chooseWorker(state, {&step, job.policy.service, nullptr, rack_id(), 1}) == nullptr)
             continue;
-        state.ports.log("evacuate",
-                        fmt::format("job={} task={} from={}", name.job.value, toString(name),
-                                    worker.info.id.value));
+        state.ports.logDetail("evacuate",
+                              fmt::format("job={} task={} from={}", name.job.value, toString(name),
+                                          worker.info.id.value));
         sendStop(state, name, task);
         ++underWay;
     }
--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -141,7 +141,7 @@
     filling_image &filling = worker.filling.at(image);
     if (filling.pacePercent == percent)
         return;
-    state.ports.log(
+    state.ports.logDetail(
         "pace",
         fmt::format("worker={} image={} from={} to={} used_share={:.2f} pressure={:.2f}",
                     worker.info.id.value, image, filling.pacePercent, percent, filling.usedShare,
@@ -177,10 +177,10 @@
         const worker_record *target = chooseWorker(state, {&step, service, nullptr, rack_id(), 1});
         if (target == nullptr || target == &worker)
             continue;
-        state.ports.log("move",
-                        fmt::format("job={} task={} from={} pace={} progress={}", name.job.value,
-                                    toString(name), worker.info.id.value, filling.pacePercent,
-                                    task.progressPercent));
+        state.ports.logDetail("move",
+                              fmt::format("job={} task={} from={} pace={} progress={}",
+                                          name.job.value, toString(name), worker.info.id.value,
+                                          filling.pacePercent, task.progressPercent));
         sendStop(state, name, task);
         ++moves;
     }
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -144,6 +144,7 @@
     state.isDeposed = false;
     state.isStoreAvailable = true;
     state.epoch = epoch;
+    state.tookOverAt = now;
     state.nextCommitAt = now;
     loadRecords(state, records, unixNowMs, inheritedUntil);
     for (auto &[id, worker] : state.workers)
@@ -329,6 +330,8 @@
     i.pruneWorkers();
     forgetEndedJobs(i.state);
     i.state.counters.jobsKnown = std::int64_t(i.state.jobs.size());
+    i.state.counters.jobsUncommitted = std::int64_t(i.state.dirtyJobs.size());
+    i.state.counters.workersUnreported = std::int64_t(i.state.unreportedWorkers.size());
     i.proceed();
 }
 
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -43,6 +43,8 @@
     std::int64_t runsLost = 0; ///< Runs that ended without a listed end.
     std::int64_t jobsKnown = 0; ///< Gauge.
     std::int64_t tasksWaiting = 0; ///< Gauge, as of the last dispatch.
+    std::int64_t jobsUncommitted = 0; ///< Gauge: jobs with changes that are not durable yet.
+    std::int64_t workersUnreported = 0; ///< Gauge: workers that hold back tasks taken over.
 };
 
 /// A record of the store, as read when the jobs are taken over.
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -57,6 +57,7 @@
     bool isDeposed = false; ///< A worker has seen a higher epoch.
     bool isHandingOver = false; ///< Nothing new is begun; commits are finished.
     std::int64_t epoch = 0;
+    instant tookOverAt; ///< When the ownership began.
     std::int64_t unixOffsetMs = 0; ///< Unix time less the time of `now`, in milliseconds.
     instant authorityUntil; ///< Leases of workers never reach beyond it.
 
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -77,7 +77,7 @@
 {
     job.finishedUnixMs = unixTimeMs(state);
     markDirty(state, job);
-    state.ports.log(
+    state.ports.logDetail(
         "job_end",
         fmt::format(
             "job={} outcome={} since_accept_ms={}", job.spec.name.value,
@@ -331,6 +331,7 @@
 
 void releaseUnlocatedTasks(scheduler_state &state)
 {
+    std::int64_t released = 0;
     for (auto &[name, job] : state.jobs) {
         if (job->isOver())
             continue;
@@ -343,6 +344,7 @@
                     if (task.phase != task_phase::unlocated)
                         continue;
                     const bool canBegin = canStepBegin(*job, occurrence, step);
+                    ++released;
                     task.phase = canBegin ? task_phase::waiting : task_phase::blocked;
                     hasWaiting = hasWaiting || canBegin;
                 }
@@ -351,6 +353,11 @@
             }
         }
     }
+    state.ports.log("unlocated_released",
+                    fmt::format("epoch={} tasks={} since_take_over_ms={}", state.epoch, released,
+                                std::chrono::duration_cast<std::chrono::milliseconds>(
+                                    state.now - state.tookOverAt)
+                                    .count()));
     state.isDispatchWanted = true;
 }
 
@@ -402,10 +409,11 @@
         return;
     task_state *task = state.findTask(end.task);
     const bool counts = task != nullptr && isCounted(worker, *task, end);
-    state.ports.log("task_end",
-                    fmt::format("job={} task={} run={} worker={} end={} reason={} counted={}",
-                                end.task.job.value, toString(end.task), end.run,
-                                worker.info.id.value, end.number, toWord(end.reason), counts));
+    state.ports.logDetail("task_end",
+                          fmt::format("job={} task={} run={} worker={} end={} reason={} counted={}",
+                                      end.task.job.value, toString(end.task), end.run,
+                                      worker.info.id.value, end.number, toWord(end.reason),
+                                      counts));
     if (counts)
         countEnd(state, worker, *state.findJob(end.task.job), *task, end);
     else if (task != nullptr)
--- a/test/correctness/io_event_loop_test.cpp
+++ b/test/correctness/io_event_loop_test.cpp
@@ -106,6 +106,17 @@
     EXPECT_GE(pauses[0], duration(4s));
 }
 
+// An owner that lost its lease for want of processor time left no trace of how late it was.
+TEST(EventLoop, TellsHowLateItsTimersWereSinceTheLastQuestion)
+{
+    event_loop loop;
+    bool hasFired = false;
+    loop.callAt(loop.now() - 400ms, [&] { hasFired = true; });
+    EXPECT_TRUE(loop.runUntil([&] { return hasFired; }, 20s));
+    EXPECT_GE(loop.takeWorstLateness(), 400ms);
+    EXPECT_EQ(loop.takeWorstLateness(), 0ms);
+}
+
 TEST(Endpoint, AcceptsOnlyNumericAddresses)
 {
     EXPECT_EQ(parseEndpoint("127.0.0.1:80"), (ip_endpoint{"127.0.0.1", 80}));
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -66,6 +66,7 @@
     void commit(commit_batch batch) override;
     void answer(const job_reply &reply) override { replies[reply.token] = reply; }
     void log(const std::string &event, const std::string &fields) override;
+    void logDetail(const std::string &event, const std::string &fields) override;
 
     /// Sends a call; the answer appears in `replies`.
     call_token call(job_call_kind kind, const job_name &name, const job_spec *spec = nullptr);
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -192,6 +192,11 @@
     events.push_back(event);
 }
 
+inline void fake_owner::logDetail(const std::string &event, const std::string &fields)
+{
+    log(event, fields);
+}
+
 // Carries an order to its worker and the answer back, with the faults of the world.
 template <class order, class carry, class report>
 void fake_owner::send(const order &o, carry carryOut, report tell)
--- a/test/failure/io_log_output_test.cpp
+++ b/test/failure/io_log_output_test.cpp
@@ -75,3 +75,24 @@
     EXPECT_NE(text.find("event=lines_dropped total=40"), std::string::npos);
     EXPECT_NE(text.find("warning part: event=trouble"), std::string::npos);
 }
+
+// A full log dropped the lines that say who owns the jobs among those of single tasks.
+TEST_F(log_pipe, DropsLinesOfSingleTasksBeforeThoseOnThePlatform)
+{
+    settings.burstLines = 10;
+    settings.linesPerSecond = 0;
+    {
+        log_output output(loop, settings);
+        const logger log("part");
+        for (int i = 0; i < 50; ++i)
+            log.detail("event=start task={}", i);
+        EXPECT_EQ(output.droppedLines(), 45u);
+        for (int i = 0; i < 5; ++i)
+            log.info("event=deposed epoch={}", i);
+        EXPECT_EQ(output.droppedLines(), 45u);
+    }
+    const std::string text = readAll(ends[0]);
+    EXPECT_NE(text.find("detail part: event=start task=4"), std::string::npos);
+    EXPECT_EQ(text.find("event=start task=5"), std::string::npos);
+    EXPECT_NE(text.find("info part: event=deposed epoch=4"), std::string::npos);
+}
--- a/test/performance/scheduler_decision_benchmark.cpp
+++ b/test/performance/scheduler_decision_benchmark.cpp
@@ -36,6 +36,7 @@
     }
     void answer(const job_reply &) override { }
     void log(const std::string &, const std::string &) override { }
+    void logDetail(const std::string &, const std::string &) override { }
 
     std::deque<start_order> starts;
     std::deque<std::pair<instant, poll_order>> polls; ///< With the time until which each waits.
