--- a/packages/io/event_loop.cpp
+++ b/packages/io/event_loop.cpp
@@ -93,6 +93,7 @@
 
     void beat()
     {
+        worstLateness = std::max(worstLateness, now() - heartbeatDue);
         reportIfLate(heartbeatDue);
         scheduleBeat();
     }
@@ -101,7 +102,6 @@
     void reportIfLate(instant due)
     {
         const instant current = now();
-        worstLateness = std::max(worstLateness, current - due);
         const duration late = current - std::max(due, reportedUntil);
         if (late <= pauseThreshold)
             return;
--- a/packages/io/event_loop.h
+++ b/packages/io/event_loop.h
@@ -55,8 +55,8 @@
     /// sure that a pause is seen, and is handled before sockets that are ready in the same round.
     void onPause(std::function<void(duration late)> function);
 
-    /// Returns by how much the latest timer was late since the last call of this function. A loop
-    /// whose callbacks take long, or that gets too little processor time, runs its timers late.
+    /// Returns by how much the timer of 250 ms was late at worst since the last call of this
+    /// function. It is late when callbacks take long or processor time is short.
     duration takeWorstLateness();
 
     /// Runs until stop() is called.
