--- a/packages/io/event_loop.h
+++ b/packages/io/event_loop.h
@@ -55,6 +55,10 @@
     /// sure that a pause is seen, and is handled before sockets that are ready in the same round.
     void onPause(std::function<void(duration late)> function);
 
+    /// Returns by how much the timer of 250 ms was late at worst since the last call of this
+    /// function. It is late when callbacks take long or processor time is short.
+    duration takeWorstLateness();
+
     /// Runs until stop() is called.
     void run();
 
--- a/test/correctness/io_event_loop_test.cpp
+++ b/test/correctness/io_event_loop_test.cpp
@@ -106,6 +106,18 @@
     EXPECT_GE(pauses[0], duration(4s));
 }
 
+// An owner that lost its lease for want of processor time left no trace of how late it was.
+TEST(EventLoop, TellsHowLateItsTimersWereSinceTheLastQuestion)
+{
+    event_loop loop;
+    const instant begin = loop.now();
+    loop.post([&] {
+        while (loop.now() < begin + 700ms) { }
+    });
+    EXPECT_TRUE(loop.runUntil([&] { return loop.takeWorstLateness() >= 400ms; }, 20s));
+    EXPECT_EQ(loop.takeWorstLateness(), 0ms);
+}
+
 TEST(Endpoint, AcceptsOnlyNumericAddresses)
 {
     EXPECT_EQ(parseEndpoint("127.0.0.1:80"), (ip_endpoint{"127.0.0.1", 80}));
