--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -1,5 +1,6 @@
 #include "job_host.h"
 
+#include "load_report.h"
 #include "prefix_mirror.h"
 
 #include <ctime>
@@ -18,9 +19,6 @@
 constexpr duration recordsReadLimit = 3s;
 constexpr duration handoverPollInterval = 10ms;
 
-/// The owner's load is logged this often.
-constexpr duration loadInterval = 1s;
-
 // First byte of a frame between entry hosts.
 constexpr char callFrame = 'C';
 constexpr char replyFrame = 'R';
@@ -55,14 +53,6 @@
     return std::int64_t(time.tv_sec) * 1000 + time.tv_nsec / 1000000;
 }
 
-// Processor time of this process since its start.
-std::int64_t processorMs()
-{
-    timespec time = {};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-    return std::int64_t(time.tv_sec) * 1000 + time.tv_nsec / 1000000;
-}
-
 } // namespace
 
 struct job_host::implementation final : public scheduler_ports, public election_ports
@@ -78,6 +68,7 @@
         , hello(settings.host)
         , core(settings.scheduler, *this)
         , election(electionSettings(settings), *this)
+        , load(l, schedulerLog, m, core)
         , router(
               l,
               [this](const host_id &owner, const job_call &call) { return sendCall(owner, call); })
@@ -94,7 +85,6 @@
         loop.cancel(electionTimer);
         loop.cancel(handoverTimer);
         loop.cancel(readTimer);
-        loop.cancel(loadTimer);
     }
 
     static election_settings electionSettings(const job_host_settings &settings)
@@ -286,10 +276,7 @@
         callbacks.ownershipChanged(true);
         router.onPathUp(settings.host);
         scheduleCore();
-        reportedLoad = core.counters();
-        reportedProcessorMs = processorMs();
-        loop.takeWorstLateness();
-        scheduleLoadReport();
+        load.start(epoch);
     }
 
     // Calls.
@@ -344,37 +331,6 @@
         });
     }
 
-    void scheduleLoadReport()
-    {
-        loop.cancel(loadTimer);
-        loadTimer = loop.callAt(loop.now() + loadInterval, [this] { reportLoad(); });
-    }
-
-    // Says whether the owner keeps up: what it did since the last line, what waits, and how late
-    // it is.
-    void reportLoad()
-    {
-        const auto late
-            = std::chrono::duration_cast<std::chrono::milliseconds>(loop.takeWorstLateness());
-        metrics.set("crocuswind_loop_late_seconds", {}, double(late.count()) / 1e3);
-        if (!core.isOwner())
-            return;
-        const scheduler_counters now = core.counters();
-        const scheduler_counters &before = reportedLoad;
-        const std::int64_t usedMs = processorMs();
-        schedulerLog.info("event=load epoch={} late_ms={} processor_ms={} accepted={} starts={} "
-                          "polls={} paces={} commits={} tasks_waiting={} jobs_uncommitted={} "
-                          "workers_unreported={}",
-                          election.epoch(), late.count(), usedMs - reportedProcessorMs,
-                          now.accepted - before.accepted, now.starts - before.starts,
-                          now.polls - before.polls, now.paces - before.paces,
-                          now.commits - before.commits, now.tasksWaiting, now.jobsUncommitted,
-                          now.workersUnreported);
-        reportedLoad = now;
-        reportedProcessorMs = usedMs;
-        scheduleLoadReport();
-    }
-
     void scheduleElection()
     {
         loop.cancel(electionTimer);
@@ -405,6 +361,7 @@
     name_hello hello;
     scheduler_core core;
     owner_election election;
+    load_report load;
     job_router router;
     peer_links links;
     std::unique_ptr<prefix_mirror> ownerMirror;
@@ -419,9 +376,6 @@
     timer_id electionTimer = 0;
     timer_id handoverTimer = 0;
     timer_id readTimer = 0;
-    timer_id loadTimer = 0;
-    scheduler_counters reportedLoad; ///< As of the last line on the owner's load.
-    std::int64_t reportedProcessorMs = 0;
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
 
