Run posted functions and due timers while input keeps arriving

An owner short of processor time got the results of its calls and its timers late, by far more than one round of the loop: commits fell to 2 to 5 a second with 300 jobs uncommitted, though its heartbeat was only 0.2 s late.

libevent takes a timer event that is added again while it is active out of its queue and activates it in the next round. post() and callAt() added their events in each call, so each callback of a socket put all posted functions and due timers off to the next round, in a busy loop for ever: results of HTTP calls, commits and renewals of the lease waited for a round without input.

The events are added only when they are not pending for a time that has come.

--- a/packages/io/event_loop.cpp
+++ b/packages/io/event_loop.cpp
@@ -7,6 +7,7 @@
 #include <ctime>
 #include <event2/event.h>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -113,13 +114,19 @@
     void scheduleNextTimer()
     {
         if (timers.empty()) {
+            nextTimerDue.reset();
             event_del(nextTimer.get());
             return;
         }
-        const timeval delay = toTimeval(timers.begin()->first.first - now());
+        nextTimerDue = timers.begin()->first.first;
+        const timeval delay = toTimeval(*nextTimerDue - now());
         event_add(nextTimer.get(), &delay);
     }
 
+    // An event that is due may be active already. Adding it again would put it off to the next
+    // round, and in a busy loop again in each round.
+    bool isNextTimerDue() const { return nextTimerDue && *nextTimerDue <= now(); }
+
     // Runs what was due when the round began; timers set meanwhile wait, so that sockets get their
     // turn. libevent measures from the start of its round, so the round may be early by a little.
     void runDueTimers()
@@ -157,6 +164,7 @@
     duration unixOffset = duration::zero();
     instant heartbeatDue;
     instant reportedUntil;
+    std::optional<instant> nextTimerDue; ///< For which `nextTimer` is set.
     duration worstLateness = duration::zero();
     timer_id lastTimer = 0;
     // One ordered set behind one event of libevent: events of their own fire out of order when the
@@ -195,7 +203,7 @@
     const timer_id id = ++i.lastTimer;
     i.dueTimes.emplace(id, time);
     const auto [added, isNew] = i.timers.emplace(std::pair(time, id), std::move(function));
-    if (added == i.timers.begin())
+    if (added == i.timers.begin() && !i.isNextTimerDue())
         i.scheduleNextTimer();
     return id;
 }
@@ -214,6 +222,9 @@
 {
     implementation &i = *m_implementation;
     i.posted.push_back(std::move(function));
+    // Adding an event that is active already would put it off to the next round.
+    if (i.posted.size() > 1)
+        return;
     const timeval immediately = {};
     event_add(i.postEvent.get(), &immediately);
 }
--- a/test/correctness/io_event_loop_test.cpp
+++ b/test/correctness/io_event_loop_test.cpp
@@ -1,14 +1,60 @@
-// Guards against timers that fire early, out of order or after being cancelled, against signals
-// that are lost, and against addresses that would need a name service.
+// Guards against timers that fire early, out of order or after being cancelled, against timers and
+// posted functions that are held back by a busy loop, against signals that are lost, and against
+// addresses that would need a name service.
 
 #include "io/io.h"
 
+#include <array>
 #include <csignal>
+#include <event2/event.h>
+#include <functional>
 #include <gtest/gtest.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 using namespace crocuswind;
 
+namespace {
+
+/// A socket with a callback for its input, and the other end of it.
+class input_socket
+{
+public:
+    input_socket(event_loop &loop, std::function<void()> onInput)
+        : m_onInput(std::move(onInput))
+    {
+        CROCUSWIND_INVARIANT(socketpair(AF_UNIX, SOCK_STREAM, 0, m_ends.data()) == 0,
+                             "socketpair failed");
+        m_event = event_new(
+            loop.base(), m_ends[0], EV_READ | EV_PERSIST,
+            [](evutil_socket_t, short, void *self) {
+                static_cast<input_socket *>(self)->m_onInput();
+            },
+            this);
+        event_add(m_event, nullptr);
+    }
+    ~input_socket()
+    {
+        event_free(m_event);
+        close(m_ends[0]);
+        close(m_ends[1]);
+    }
+    input_socket(const input_socket &) = delete;
+    input_socket &operator=(const input_socket &) = delete;
+
+    /// Makes a byte arrive. It is never read, so that there is input in each round from here on.
+    void arrive() { EXPECT_EQ(write(m_ends[1], "x", 1), 1); }
+
+private:
+    std::function<void()> m_onInput;
+    std::array<int, 2> m_ends = {-1, -1};
+    event *m_event = nullptr;
+};
+
+} // namespace
+
 TEST(EventLoop, FiresTimersInOrderAndNeverEarly)
 {
     event_loop loop;
@@ -83,6 +129,49 @@
     EXPECT_EQ(order, (std::vector<int>{1, 2}));
 }
 
+// libevent takes an event that is set again out of its queue, so that each function posted by a
+// socket's callback put off all others until a round without input: a busy owner got the answers of
+// its calls only after their deadlines.
+TEST(EventLoop, RunsPostedFunctionsWhileInputKeepsArriving)
+{
+    event_loop loop;
+    int rounds = 0;
+    int ran = 0;
+    input_socket input(loop, [&] {
+        loop.post([&] { ++ran; });
+        if (++rounds == 100)
+            loop.stop();
+    });
+    input.arrive();
+    loop.run();
+    EXPECT_GE(ran, 98);
+}
+
+// The same for timers: an owner that is behind sets its earliest timer anew in each callback.
+TEST(EventLoop, CallsDueTimersWhileCallbacksSetEarlierOnes)
+{
+    event_loop loop;
+    const instant start = loop.now();
+    int rounds = 0;
+    int renewals = 0;
+    timer_id earliest = 0;
+    std::function<void()> renew = [&] {
+        ++renewals;
+        loop.callAt(start, renew);
+    };
+    loop.callAt(start, renew);
+    input_socket input(loop, [&] {
+        ++rounds;
+        loop.cancel(earliest);
+        earliest = loop.callAt(start - rounds * 1ms, [] {});
+        if (rounds == 100)
+            loop.stop();
+    });
+    input.arrive();
+    loop.run();
+    EXPECT_GE(renewals, 40);
+}
+
 TEST(EventLoop, DeliversSignals)
 {
     event_loop loop;
