Read what has arrived before a deadline is judged

The loop ran all timers that were due when it came to them, though it had looked for input only before the callbacks of the round. And even a round that begins after the deadline does not read everything: libevent asks 32 sockets at first, and reads 4096 bytes of each.

A timer now runs only in a round that looked for input at its time or later, which covers every time limit on the loop: calls, silent peers, the election and the router. A call whose deadline has passed goes on while bytes that had arrived by then are unread; what arrives later does not prolong it.

--- a/packages/io/event_loop.cpp
+++ b/packages/io/event_loop.cpp
@@ -118,8 +118,12 @@
             event_del(nextTimer.get());
             return;
         }
+        // libevent would measure the delay from the start of its round.
+        event_base_update_cache_time(base);
+        const instant current = now();
         nextTimerDue = timers.begin()->first.first;
-        const timeval delay = toTimeval(*nextTimerDue - now());
+        inputReadUntil = std::max(current, *nextTimerDue);
+        const timeval delay = toTimeval(*nextTimerDue - current);
         event_add(nextTimer.get(), &delay);
     }
 
@@ -127,14 +131,15 @@
     // round, and in a busy loop again in each round.
     bool isNextTimerDue() const { return nextTimerDue && *nextTimerDue <= now(); }
 
-    // Runs what was due when the round began; timers set meanwhile wait, so that sockets get their
-    // turn. libevent measures from the start of its round, so the round may be early by a little.
+    // libevent looks for input before it activates this event, and handles what it found first.
+    // Timers that are due later, or set meanwhile, wait for the next round: input that arrived
+    // before their time may not have been read yet.
     void runDueTimers()
     {
-        const instant current = now();
+        const instant dueUntil = std::min(now(), inputReadUntil);
         const timer_id lastOfRound = lastTimer;
         auto next = timers.begin();
-        while (next != timers.end() && next->first.first <= current
+        while (next != timers.end() && next->first.first <= dueUntil
                && event_base_got_break(base) == 0) {
             const auto [due, id] = next->first;
             if (id > lastOfRound) {
@@ -165,6 +170,7 @@
     instant heartbeatDue;
     instant reportedUntil;
     std::optional<instant> nextTimerDue; ///< For which `nextTimer` is set.
+    instant inputReadUntil; ///< What arrived before is handled when `nextTimer` fires.
     duration worstLateness = duration::zero();
     timer_id lastTimer = 0;
     // One ordered set behind one event of libevent: events of their own fire out of order when the
--- a/packages/io/event_loop.h
+++ b/packages/io/event_loop.h
@@ -37,7 +37,8 @@
 
     /// Calls \p function once, at \p time or as soon as possible if that has passed. The function
     /// is never called from within callAt(). Timers that are due together are called in the order
-    /// of their times, and those of the same time in the order in which they were set.
+    /// of their times, and those of the same time in the order in which they were set. A late timer
+    /// is called after the sockets that had input at its time.
     timer_id callAt(instant time, std::function<void()> function);
 
     /// Cancels a timer. Has no effect if the timer has fired or was cancelled before.
--- a/packages/io/http_client.cpp
+++ b/packages/io/http_client.cpp
@@ -11,6 +11,8 @@
 #include <event2/http.h>
 #include <list>
 #include <map>
+#include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
@@ -44,6 +46,9 @@
         timer_id timer = 0;
         bool bytesSent = false;
         bool headerArrived = false;
+        std::size_t receivedBytes = 0;
+        /// Set when the deadline has passed: what was received until then, read or not.
+        std::optional<std::size_t> bytesInTime;
         std::string streamBody; ///< Body of a stream's answer with a status other than 200.
     };
 
@@ -175,6 +180,8 @@
         evhttp_connection_set_closecb(wire, &implementation::onClosed, &c);
         evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(wire)),
                         &implementation::onOutput, &c);
+        evbuffer_add_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(wire)),
+                        &implementation::onInput, &c);
         if (home != nullptr)
             home->connections.push_back(&c);
         connections.emplace(&c, std::move(owned));
@@ -227,6 +234,10 @@
         }
         if (state.piece && state.headerArrived)
             return;
+        if (hasUnreadAnswer(state)) {
+            state.timer = loop.callAt(loop.now(), [this, id] { onTimer(id); });
+            return;
+        }
         if (state.queue != nullptr) {
             leaveQueue(state);
             finish(state, {http_outcome::not_connected, 0, {}, {}});
@@ -235,6 +246,22 @@
         fail(*state.carrier);
     }
 
+    // Whether some of what arrived in time is unread. When the thread was held up, libevent takes
+    // several rounds to read it: it asks few sockets at a time and reads little from each.
+    static bool hasUnreadAnswer(call_state &state)
+    {
+        if (state.carrier == nullptr || !state.bytesSent)
+            return false;
+        int unread = 0;
+        const int socket
+            = bufferevent_getfd(evhttp_connection_get_bufferevent(state.carrier->wire));
+        if (socket < 0 || ioctl(socket, FIONREAD, &unread) != 0 || unread <= 0)
+            return false;
+        if (!state.bytesInTime)
+            state.bytesInTime = state.receivedBytes + std::size_t(unread);
+        return state.receivedBytes < *state.bytesInTime;
+    }
+
     static void leaveQueue(call_state &state)
     {
         auto &queue = state.queue->queue;
@@ -308,6 +335,13 @@
         c->current->bytesSent = true;
     }
 
+    static void onInput(evbuffer *, const evbuffer_cb_info *info, void *argument)
+    {
+        auto *c = static_cast<connection *>(argument);
+        if (c->current != nullptr)
+            c->current->receivedBytes += info->n_added;
+    }
+
     static int onHeader(evhttp_request *, void *argument)
     {
         auto *c = static_cast<connection *>(argument);
--- a/test/correctness/io_event_loop_test.cpp
+++ b/test/correctness/io_event_loop_test.cpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 using namespace crocuswind;
@@ -172,6 +173,32 @@
     EXPECT_GE(renewals, 40);
 }
 
+// An owner judged the deadlines of its calls after a long callback and before it read their
+// answers, so that it took nearly all of them for missing.
+TEST(EventLoop, HandlesInputBeforeALaterTimerThatIsOverdue)
+{
+    event_loop loop;
+    const instant start = loop.now();
+    const instant deadline = start + 40ms;
+    std::vector<std::string> order;
+    bool isRead = false;
+    input_socket input(loop, [&] {
+        if (!std::exchange(isRead, true))
+            order.emplace_back("input");
+    });
+    input_socket longCallback(loop, [&] {
+        if (loop.now() > deadline)
+            return;
+        input.arrive();
+        while (loop.now() <= deadline) { }
+    });
+    longCallback.arrive();
+    loop.callAt(start, [] {}); // Due in the round of the long callback.
+    loop.callAt(deadline, [&] { order.emplace_back("deadline"); });
+    EXPECT_TRUE(loop.runUntil([&] { return order.size() == 2; }, 20s));
+    EXPECT_EQ(order, (std::vector<std::string>{"input", "deadline"}));
+}
+
 TEST(EventLoop, DeliversSignals)
 {
     event_loop loop;
--- a/test/failure/io_http_test.cpp
+++ b/test/failure/io_http_test.cpp
@@ -3,12 +3,61 @@
 
 #include "failure/io_raw_peer.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/ioctl.h>
+#include <unistd.h>
 
 using namespace crocuswind;
 
 namespace {
 
+/// A listening socket outside the loop: what its connections send and receive needs no round.
+class silent_listener
+{
+public:
+    silent_listener()
+        : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+    {
+        m_address.sin_family = AF_INET;
+        m_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(m_address);
+        auto *address = reinterpret_cast<sockaddr *>(&m_address);
+        EXPECT_EQ(bind(m_socket, address, length), 0);
+        EXPECT_EQ(listen(m_socket, SOMAXCONN), 0);
+        EXPECT_EQ(getsockname(m_socket, address, &length), 0);
+    }
+    ~silent_listener() { close(m_socket); }
+    silent_listener(const silent_listener &) = delete;
+    silent_listener &operator=(const silent_listener &) = delete;
+
+    ip_endpoint endpoint() const { return {"127.0.0.1", ntohs(m_address.sin_port)}; }
+
+    /// Adds the connections that are established by now.
+    void acceptReady(std::vector<int> &sockets) const
+    {
+        for (int s = accept(m_socket, nullptr, nullptr); s >= 0;
+             s = accept(m_socket, nullptr, nullptr))
+            sockets.push_back(s);
+    }
+
+private:
+    int m_socket;
+    sockaddr_in m_address = {};
+};
+
+bool hasInput(int socket)
+{
+    int count = 0;
+    return ioctl(socket, FIONREAD, &count) == 0 && count > 0;
+}
+
+bool allHaveInput(const std::vector<int> &sockets)
+{
+    return std::all_of(sockets.begin(), sockets.end(), hasInput);
+}
+
 struct http_test : testing::Test
 {
     ip_endpoint serve(http_server::handler h, http_server_settings settings = {})
@@ -148,6 +197,72 @@
     EXPECT_EQ(client.connections(raw.endpoint), 0);
 }
 
+// Deadlines that passed while the thread was held up were judged before all sockets were read:
+// libevent reports few sockets in a round at first, and reads a part of a long answer at a time.
+TEST_F(http_test, AnswersThatArrivedWhileTheThreadWasHeldUpCount)
+{
+    constexpr std::size_t callCount = 100;
+    const std::string body(20000, 'x');
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n" + body;
+    silent_listener listener;
+    http_client_settings settings;
+    settings.maxConnectionsPerEndpoint = int(callCount);
+    http_client manyCalls{loop, settings};
+    http_call call = callTo(listener.endpoint());
+    call.deadline = loop.now() + 500ms;
+    std::vector<http_result> results;
+    for (std::size_t i = 0; i < callCount; ++i)
+        manyCalls.send(call, [&](const http_result &r) { results.push_back(r); });
+    std::vector<int> sockets;
+    EXPECT_TRUE(loop.runUntil(
+        [&] {
+            listener.acceptReady(sockets);
+            return sockets.size() == callCount && allHaveInput(sockets);
+        },
+        testLimit));
+    for (const int socket : sockets)
+        EXPECT_EQ(send(socket, answer.data(), answer.size(), 0), ssize_t(answer.size()));
+    while (loop.now() <= call.deadline) { }
+    EXPECT_TRUE(loop.runUntil([&] { return results.size() == callCount; }, testLimit));
+    const auto answered = std::count_if(results.begin(), results.end(), [&](const http_result &r) {
+        return r.outcome == http_outcome::answered && r.body == body;
+    });
+    EXPECT_EQ(answered, int(callCount));
+    for (const int socket : sockets)
+        close(socket);
+}
+
+// The rest of an answer that arrives after the deadline does not count, however it trickles in.
+TEST_F(http_test, AnAnswerThatIsIncompleteAtItsDeadlineIsNoAnswer)
+{
+    silent_listener listener;
+    http_call call = callTo(listener.endpoint());
+    call.deadline = loop.now() + 200ms;
+    std::optional<http_result> result;
+    client.send(call, [&](const http_result &r) { result = r; });
+    std::vector<int> sockets;
+    EXPECT_TRUE(loop.runUntil(
+        [&] {
+            listener.acceptReady(sockets);
+            return sockets.size() == 1 && allHaveInput(sockets);
+        },
+        testLimit));
+    ASSERT_EQ(sockets.size(), 1U);
+    const std::string begin = "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n";
+    EXPECT_EQ(send(sockets[0], begin.data(), begin.size(), 0), ssize_t(begin.size()));
+    while (loop.now() <= call.deadline) { }
+    int rounds = 0;
+    EXPECT_TRUE(loop.runUntil(
+        [&] {
+            send(sockets[0], "x", 1, MSG_NOSIGNAL);
+            return result.has_value() || ++rounds == 1000;
+        },
+        testLimit));
+    EXPECT_LT(rounds, 200);
+    EXPECT_EQ(result.value_or(http_result()).outcome, http_outcome::no_answer);
+    close(sockets[0]);
+}
+
 TEST_F(http_test, ConnectionClosedWhileIdleIsNotUsedAgain)
 {
     raw_server raw(
