Keep ends until what makes them meaningless is durable

A task ended as done, the worker was told to forget that end, and the next owner ran the task again.

Cause, traced by the logs of all hosts: a job was cancelled while its owner could not reach the store, so the cancellation was known to this owner only. Ends of its tasks that were listed afterwards were taken for meaningless and settled at once, which the next poll acknowledged. The cancellation was lost with the owner; its successor read a running job without these ends. The same held for ends of a job that had failed, for a second success of a task and for tasks of an occurrence that was complete, each as long as the record was not written.

An end that changes no record now waits for the record of its job if that is still to be written, with the waiters of the next batch or of the one under way. Without such a record it is settled at once, as before. Ends of a job that is refused unwritten are settled with the refusal.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -217,6 +217,22 @@
     return found->second;
 }
 
+void settleWhenDurable(scheduler_state &state, const job_name &name, const pending_end &end)
+{
+    const auto waiting = state.waiters.find(name);
+    if (waiting != state.waiters.end()) {
+        waiting->second.ends.push_back(end);
+        return;
+    }
+    // The batch under way holds all that is known of the job, or the job would be dirty again.
+    const auto underWay = std::find_if(state.committing.begin(), state.committing.end(),
+                                       [&](const auto &entry) { return entry.first == name; });
+    if (underWay != state.committing.end())
+        underWay->second.ends.push_back(end);
+    else
+        settleEnd(state, end);
+}
+
 void flushCommits(scheduler_state &state)
 {
     if (state.isCommitting || !state.isOwner || state.now < state.nextCommitAt)
--- a/packages/scheduler/commit_log.h
+++ b/packages/scheduler/commit_log.h
@@ -9,6 +9,11 @@
 /// Notes that the record of \p job has changed, and returns what waits for it to become durable.
 job_waiters &markDirty(scheduler_state &state, const job_record &job);
 
+/// Lets the worker forget an end that changes no record, once all that is known of the job is
+/// durable. What makes the end meaningless may be known here only: that the job was cancelled or
+/// has failed, or that another run has done the task.
+void settleWhenDurable(scheduler_state &state, const job_name &name, const pending_end &end);
+
 /// Sends the next batch if there is something to send and none is under way.
 void flushCommits(scheduler_state &state);
 
--- a/packages/scheduler/job_intake.cpp
+++ b/packages/scheduler/job_intake.cpp
@@ -194,7 +194,11 @@
             call.token = token;
             answer(state, call, job_outcome::not_found);
         }
+        // No record of the job can become durable any more.
+        const auto ends = std::move(state.waiters.at(name).ends);
         state.waiters.erase(name);
+        for (const pending_end &end : ends)
+            settleWhenDurable(state, name, end);
         state.dirtyJobs.erase(std::find(state.dirtyJobs.begin(), state.dirtyJobs.end(), name));
         state.jobs.erase(name);
     }
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -161,7 +161,7 @@
     if (!end.saved.empty())
         task.saved = end.saved;
     if (job.isOver()) {
-        worker.ends.settle(end.number);
+        settleWhenDurable(state, end.task.job, pending);
         task.phase = task_phase::dropped;
         return;
     }
@@ -226,7 +226,7 @@
     else if (mayCount && end.reason == end_reason::failed && !hasFailedRun(task, end.run))
         noteFailedRun(state, job, task, end, pending);
     else
-        worker.ends.settle(end.number);
+        settleWhenDurable(state, end.task.job, pending);
 }
 
 // Adds one task of the step to what the worker carries, or takes it away with \p sign -1.
@@ -419,7 +419,7 @@
     else if (task != nullptr)
         countLateEnd(state, worker, *state.findJob(end.task.job), *task, end);
     else
-        worker.ends.settle(end.number);
+        settleWhenDurable(state, end.task.job, {worker.info.id, worker.bornUnixMs, end.number});
 }
 
 void loseRuns(scheduler_state &state, worker_record &worker, const char *reason)
--- a/test/failure/scheduler_takeover_test.cpp
+++ b/test/failure/scheduler_takeover_test.cpp
@@ -260,6 +260,29 @@
     EXPECT_EQ(startsOfAll(), 2);
 }
 
+// An owner without the store had the ends of a job's tasks forgotten since the job was cancelled.
+// The cancellation was lost with the owner, and the next one ran the tasks again.
+TEST_F(takeover, DoesNotRunTasksAgainWhoseCancellationWasLost)
+{
+    const job_spec spec = plainJob("a", 8);
+    submit(first, spec);
+    world.run(500ms);
+    first.isCutFromStore = true;
+    for (auto &[id, worker] : world.workers) {
+        for (auto &[task, run] : worker.runs)
+            run.endsAt = world.now;
+    }
+    first.call(job_call_kind::cancel, spec.name);
+    world.run(3s);
+    ASSERT_EQ(world.done.size(), 8u);
+    kill(first);
+    world.takeOver(second);
+    world.run(12s);
+    EXPECT_EQ(status(second, spec), job_status::completed);
+    EXPECT_EQ(startsOfAll(), 8);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 TEST_F(takeover, ADeposedOwnerIsFencedByTheWorkers)
 {
     const job_spec spec = plainJob("a", 2);
