Add tests that bound the cost of dispatching a burst

Under a burst the owner spends half of its processor time on choosing workers, and orders everything that was held back in one handling of an event. Both show as counts: 490 workers examined for each of 3,000 starts (1,470,000, where 288,000 would do), and 3,000 starts for one event, where 256 are allowed (build/test/scheduler_dispatch_cost_test).

The decision benchmark gets a burst on 490 workers with serving images and more work in idle room than fits.

--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -38,6 +38,7 @@
     std::int64_t polls = 0;
     std::int64_t paces = 0;
     std::int64_t commits = 0;
+    std::int64_t workersExamined = 0; ///< When choosing workers for tasks.
     std::int64_t endsDone = 0;
     std::int64_t endsFailed = 0;
     std::int64_t runsLost = 0; ///< Runs that ended without a listed end.
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -160,6 +160,7 @@
     worker_record *best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
     for (auto &[id, worker] : state.workers) {
+        ++state.counters.workersExamined;
         if (!isOpen(state, worker) || !hasRoom(step, worker) || !isAllowed(request, worker))
             continue;
         double cost = leastCost(request, worker);
--- /dev/null
+++ b/test/correctness/scheduler_dispatch_cost_test.cpp
@@ -0,0 +1,261 @@
+// Guards against a cost of dispatching that grows with workers times waiting tasks, by counts of
+// workers examined: under a burst an owner spent half of its processor time on choosing workers and
+// lost its lease.
+
+#include "correctness/job_submission.h"
+
+#include <algorithm>
+#include <deque>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+using namespace crocuswind;
+using namespace crocuswind::scheduler;
+
+namespace {
+
+constexpr int workerCount = 490;
+
+/// Steps that differ in size, image or other demands are of different kinds.
+constexpr int kindCount = 12;
+
+/// No handling of one event orders more starts than this, so that the event loop gets its turn.
+constexpr std::size_t maxStartsOfEvent = 256;
+
+/// Records orders; the site answers them.
+class recording_ports final : public scheduler_ports
+{
+public:
+    void start(const start_order &order) override { starts.push_back(order); }
+    void stop(const stop_order &) override { }
+    void pace(const pace_order &) override { }
+    void poll(const poll_order &order) override { polls.push_back(order); }
+    void commit(commit_batch) override { isCommitting = true; }
+    void answer(const job_reply &) override { }
+    void log(const std::string &, const std::string &) override { }
+    void logDetail(const std::string &, const std::string &) override { }
+
+    std::vector<start_order> starts;
+    std::deque<poll_order> polls;
+    bool isCommitting = false;
+};
+
+/// An owner with workers that hold serving tasks of several images.
+struct busy_site : testing::Test
+{
+    busy_site()
+        : core(scheduler_settings(), ports)
+    {
+        for (const auto &[name, priority] : {std::pair("q", 1), std::pair("urgent", 0)}) {
+            queue_policy policy;
+            policy.queue.value = name;
+            policy.service.value = "pool";
+            policy.priority = priority;
+            policies.push_back(policy);
+        }
+        core.setQueues(now, policies);
+        core.takeOver(now, 0, 1, {}, now);
+        for (int i = 0; i < workerCount; ++i) {
+            worker_info info;
+            info.id.value = fmt::format("w{:03}", i);
+            info.service.value = "pool";
+            info.capacity = {16000, 64000, 0};
+            core.onWorker(now, info);
+        }
+        allowStarts();
+        settle(100ms);
+        for (int image = 0; image < 5; ++image)
+            submit("q", fmt::format("serving-{}", image), servingStep(image));
+        settle(500ms);
+    }
+
+    void allowStarts() { core.setAuthority(now, now + 1000s, now + 1000s); }
+
+    // Without a confirmed lease nothing is started.
+    void holdStarts() { core.setAuthority(now, now, now); }
+
+    static step_spec servingStep(int image)
+    {
+        step_spec step;
+        step.count = 2 * workerCount / 5;
+        step.size = {4000, 4000, 0};
+        step.isLasting = true;
+        step.image = fmt::format("serving-image-number-{}", image);
+        step.latencyTargetMs = 100;
+        step.maxPerWorker = 1;
+        return step;
+    }
+
+    // Returns a step of one of `kindCount` kinds: in idle room, or with processors of its own.
+    static step_spec finiteStep(int kind)
+    {
+        step_spec step;
+        step.count = 8;
+        step.size = {500 + 250 * (kind % 3), 500, 0};
+        step.expectedRunMs = 2000;
+        step.fillsIdleRoom = kind % 4 != 0;
+        step.image = fmt::format("filling-image-number-{}", kind);
+        return step;
+    }
+
+    void submit(const std::string &queue, const std::string &name, const step_spec &step)
+    {
+        job_call call = submissionOf(name, step);
+        call.queue.value = queue;
+        call.spec->queue = call.queue;
+        handle([&] { core.call(now, 0, call); });
+    }
+
+    // Submits the jobs while starts are held back, until all are stored and wait. The urgent ones
+    // come last.
+    void submitHeldBurst(int jobs, int urgentJobs)
+    {
+        holdStarts();
+        for (int i = 0; i < jobs + urgentJobs; ++i)
+            submit(i < jobs ? "q" : "urgent", fmt::format("job-{:04}", i),
+                   finiteStep(i % kindCount));
+        for (int i = 0; i < 100; ++i) {
+            now += 10ms;
+            commitAndTick();
+        }
+    }
+
+    // Handles one event and notes how many starts it orders.
+    template <class event>
+    void handle(event e)
+    {
+        const std::size_t before = ports.starts.size();
+        e();
+        highestStartsOfEvent = std::max(highestStartsOfEvent, ports.starts.size() - before);
+    }
+
+    // Lets the core act at the times that it asks for, with no other event, until \p starts are
+    // ordered in all. Returns the time that this took, at most a second.
+    duration tickUntil(std::size_t starts)
+    {
+        const instant begin = now;
+        while (ports.starts.size() < starts && now < begin + 1s) {
+            now = std::max(now, core.nextWake());
+            handle([&] { core.tick(now, 0); });
+        }
+        return now - begin;
+    }
+
+    void commitAndTick()
+    {
+        if (std::exchange(ports.isCommitting, false))
+            handle([&] { core.onCommitted(now); });
+        handle([&] { core.tick(now, 0); });
+    }
+
+    void answerPolls()
+    {
+        for (std::size_t left = ports.polls.size(); left > 0; --left) {
+            const poll_order order = ports.polls.front();
+            ports.polls.pop_front();
+            poll_result result;
+            result.outcome = order_outcome::done;
+            result.report.clockMs
+                = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch())
+                      .count();
+            result.report.bornUnixMs = 1;
+            for (const start_order &start : confirmed[order.worker])
+                result.report.running.push_back({start.task, start.run, "", 100, 0});
+            handle([&] { core.onPollResult(now, order, result); });
+        }
+    }
+
+    void answerStarts()
+    {
+        for (; answeredStarts < ports.starts.size(); ++answeredStarts) {
+            const start_order order = ports.starts[answeredStarts];
+            confirmed[order.worker].push_back(order);
+            handle([&] { core.onStartResult(now, order, {order_outcome::done, std::nullopt}); });
+        }
+    }
+
+    void settle(duration d)
+    {
+        for (const instant until = now + d; now < until;) {
+            now += 10ms;
+            commitAndTick();
+            answerPolls();
+            answerStarts();
+        }
+    }
+
+    instant now{1000s};
+    recording_ports ports;
+    std::vector<queue_policy> policies;
+    scheduler_core core;
+    std::map<worker_id, std::vector<start_order>> confirmed;
+    std::size_t answeredStarts = 0;
+    std::size_t highestStartsOfEvent = 0;
+};
+
+} // namespace
+
+// Every choice looked at all workers: 490 for each of 3,000 waiting tasks.
+TEST_F(busy_site, ExaminesWorkersOncePerKindOfStepAndNotOncePerTask)
+{
+    submitHeldBurst(375, 0);
+    const scheduler_counters before = core.counters();
+    allowStarts();
+    settle(300ms);
+    const std::int64_t starts = core.counters().starts - before.starts;
+    const std::int64_t examined = core.counters().workersExamined - before.workersExamined;
+    EXPECT_EQ(starts, 3000);
+    // Once for each kind and 200 starts, a bound of one pass; for each kind again after a start on
+    // the worker. Each may be examined in two stages.
+    const std::int64_t bound = 2 * kindCount * (workerCount / 200 + 1 + 1);
+    EXPECT_LE(examined, bound * starts);
+}
+
+// With more work than fits, each pass looked at all workers for every step that waited.
+TEST_F(busy_site, ExaminesWorkersOncePerKindAndPassWhileNothingFits)
+{
+    submitHeldBurst(400, 0);
+    allowStarts();
+    for (int i = 0; i < 2000; ++i)
+        submit("q", fmt::format("more-{:04}", i), finiteStep(i % kindCount));
+    settle(8s);
+    ASSERT_GT(core.counters().tasksWaiting, 3000);
+    const scheduler_counters before = core.counters();
+    settle(1s);
+    const std::int64_t starts = core.counters().starts - before.starts;
+    const std::int64_t examined = core.counters().workersExamined - before.workersExamined;
+    EXPECT_LE(starts, 100);
+    EXPECT_LE(examined, 100 * kindCount * workerCount);
+}
+
+// After a takeover, everything that had been held back was ordered in one handling of an event,
+// which outlasted the owner's lease.
+TEST_F(busy_site, OrdersABoundedNumberOfStartsForOneEvent)
+{
+    submitHeldBurst(375, 0);
+    allowStarts();
+    settle(500ms);
+    EXPECT_EQ(core.counters().tasksWaiting, 0);
+    EXPECT_LE(highestStartsOfEvent, maxStartsOfEvent);
+}
+
+TEST_F(busy_site, StartsTheRestOfABurstWithoutAnotherEvent)
+{
+    submitHeldBurst(375, 0);
+    const std::size_t before = ports.starts.size();
+    allowStarts();
+    EXPECT_LE(tickUntil(before + 3000), 200ms);
+    EXPECT_EQ(ports.starts.size(), before + 3000);
+    EXPECT_LE(highestStartsOfEvent, maxStartsOfEvent);
+}
+
+TEST_F(busy_site, StartsUrgentWorkFirstWhenABurstTakesSeveralPasses)
+{
+    submitHeldBurst(250, 125);
+    const std::size_t before = ports.starts.size();
+    allowStarts();
+    tickUntil(before + 3000);
+    ASSERT_EQ(ports.starts.size(), before + 3000);
+    for (std::size_t i = 0; i < 1000; ++i)
+        ASSERT_GE(ports.starts[before + i].task.job.value, "job-0250") << i;
+}
--- a/test/performance/scheduler_decision_benchmark.cpp
+++ b/test/performance/scheduler_decision_benchmark.cpp
@@ -1,9 +1,12 @@
 // Measures what the scheduler's decisions cost the owner at sizes up to the expected one: processor
-// time for a start with its end, and state for each job. Prints figures; asserts nothing.
-// Usage: scheduler_decision_benchmark [SECONDS-OF-WORK]
+// time for a start with its end, and state for each job; and under a burst of work in idle room
+// that does not fit. Prints figures; asserts nothing. For instructions that repeat, run the burst
+// alone under valgrind --tool=callgrind. Usage: scheduler_decision_benchmark [SECONDS-OF-WORK
+// [sizes|burst]]
 
 #include "correctness/job_submission.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -46,10 +49,20 @@
     std::size_t commits = 0;
 };
 
+/// A run on a worker.
+struct fake_run
+{
+    task_name task;
+    int run = 0;
+    instant endsAt;
+    bool isLasting = false;
+};
+
 struct fleet
 {
-    explicit fleet(int workers, int lastingTasks)
+    explicit fleet(int workers, resources capacity, duration finiteRunTime)
         : core(scheduler_settings(), ports)
+        , runTime(finiteRunTime)
     {
         queue_policy policy;
         policy.queue.value = "q";
@@ -61,22 +74,20 @@
             worker_info info;
             info.id.value = fmt::format("w{:04}", i);
             info.service = policy.service;
-            info.capacity = {64000, 512000, 1};
+            info.capacity = capacity;
             core.onWorker(now, info);
         }
         settle();
-        for (int i = 0; i < lastingTasks / 50; ++i)
-            submit(fmt::format("lasting-{}", i), 50, true);
-        for (int i = 0; i < 400; ++i)
+    }
+
+    void settleFor(duration d)
+    {
+        for (const instant until = now + d; now < until;)
             settle();
     }
 
-    void submit(const std::string &name, int tasks, bool isLasting)
+    void submit(const std::string &name, const step_spec &step)
     {
-        step_spec step;
-        step.count = tasks;
-        step.size = {1500, 6000, 0};
-        step.isLasting = isLasting;
         job_call call = submissionOf(name, step);
         call.spec->payload = std::string(1200, 'x');
         core.call(now, 0, call);
@@ -92,7 +103,8 @@
         while (!ports.starts.empty()) {
             const start_order order = ports.starts.front();
             ports.starts.pop_front();
-            running[order.worker].push_back({order.task, order.run});
+            const bool isLasting = order.task.job.value.rfind("lasting", 0) == 0;
+            running[order.worker].push_back({order.task, order.run, now + runTime, isLasting});
             core.onStartResult(now, order, {order_outcome::done, clockMs()});
             ++startsSeen;
         }
@@ -108,15 +120,15 @@
             result.report.clockMs = clockMs();
             result.report.bornUnixMs = 1;
             auto &here = running[order.worker];
-            std::vector<std::pair<task_name, int>> staying;
-            for (const auto &[task, run] : here) {
-                if (task.job.value.rfind("lasting", 0) == 0) {
-                    result.report.running.push_back({task, run, "", 100, 0});
-                    staying.emplace_back(task, run);
-                } else {
+            std::vector<fake_run> staying;
+            for (const fake_run &run : here) {
+                if (isOver(run)) {
                     result.report.ended.push_back(
-                        {++lastEnd[order.worker], task, run, end_reason::done, ""});
+                        {++lastEnd[order.worker], run.task, run.run, end_reason::done, ""});
+                    continue;
                 }
+                result.report.running.push_back({run.task, run.run, "", 100, latencyMs});
+                staying.push_back(run);
             }
             here = staying;
             core.onPollResult(now, order, result);
@@ -124,13 +136,13 @@
         core.tick(now, 0);
     }
 
+    bool isOver(const fake_run &run) const { return !run.isLasting && run.endsAt <= now; }
+
     bool hasEnds(const worker_id &worker)
     {
-        for (const auto &[task, run] : running[worker]) {
-            if (task.job.value.rfind("lasting", 0) != 0)
-                return true;
-        }
-        return false;
+        const auto &here = running[worker];
+        return std::any_of(here.begin(), here.end(),
+                           [this](const fake_run &run) { return isOver(run); });
     }
 
     std::int64_t clockMs() const
@@ -142,15 +154,29 @@
     instant now{1000s};
     instant_ports ports;
     scheduler_core core;
-    std::map<worker_id, std::vector<std::pair<task_name, int>>> running;
+    duration runTime;
+    std::int64_t latencyMs = 0; ///< Of all tasks with a latency target.
+    std::map<worker_id, std::vector<fake_run>> running;
     std::map<worker_id, std::int64_t> lastEnd;
     std::int64_t startsSeen = 0;
 };
 
-void measure(int workers, int lastingTasks, int seconds)
+step_spec plainStep(int tasks, bool isLasting)
+{
+    step_spec step;
+    step.count = tasks;
+    step.size = {1500, 6000, 0};
+    step.isLasting = isLasting;
+    return step;
+}
+
+void measureSize(int workers, int lastingTasks, int seconds)
 {
     const std::size_t heapBefore = mallinfo2().uordblks;
-    fleet f(workers, lastingTasks);
+    fleet f(workers, {64000, 512000, 1}, 0ms);
+    for (int i = 0; i < lastingTasks / 50; ++i)
+        f.submit(fmt::format("lasting-{}", i), plainStep(50, true));
+    f.settleFor(4s);
     const std::size_t heapLasting = mallinfo2().uordblks - heapBefore;
     const std::int64_t before = f.startsSeen;
     const auto begin = std::chrono::steady_clock::now();
@@ -158,7 +184,7 @@
     // 74 jobs of 8 tasks a second are 592 starts a second.
     for (int step = 0; step < seconds * 100; ++step) {
         if (step % 100 < 74)
-            f.submit(fmt::format("finite-{}", job++), 8, false);
+            f.submit(fmt::format("finite-{}", job++), plainStep(8, false));
         f.settle();
     }
     const double us
@@ -174,13 +200,79 @@
         double(f.ports.commits) / double(f.now.time_since_epoch().count() / 1e6 - 1000));
 }
 
+// Three tasks of 3 cores on each worker, of ten images.
+step_spec servingStep(int workers, int image)
+{
+    step_spec step;
+    step.count = workers * 3 / 10;
+    step.size = {3000, 8000, 0};
+    step.isLasting = true;
+    step.image = fmt::format("registry/serving-image-{}", image);
+    step.latencyTargetMs = 100;
+    step.maxPerWorker = 1;
+    return step;
+}
+
+// Of 48 kinds: 16 images in three sizes. Every fourth reserves its processors.
+step_spec finiteStep(int kind)
+{
+    step_spec step;
+    step.count = 8 * (1 + kind % 4);
+    step.size = {500 * (1 + kind % 3), 2000, 0};
+    step.expectedRunMs = 6000;
+    step.fillsIdleRoom = kind % 4 != 0;
+    step.image = fmt::format("registry/filling-image-{}", kind % 16);
+    return step;
+}
+
+void measureBurst(int seconds)
+{
+    constexpr int workers = 490;
+    constexpr int kinds = 48;
+    fleet f(workers, {16000, 64000, 0}, 6s);
+    f.latencyMs = 50;
+    for (int image = 0; image < 10; ++image)
+        f.submit(fmt::format("lasting-{}", image), servingStep(workers, image));
+    f.settleFor(2s);
+    const std::int64_t startsBefore = f.startsSeen;
+    const scheduler_counters before = f.core.counters();
+    const auto begin = std::chrono::steady_clock::now();
+    double latest = 0;
+    int job = 0;
+    // 100 jobs of 20 tasks a second ask for more than the site has.
+    for (int step = 0; step < seconds * 100; ++step) {
+        f.submit(fmt::format("finite-{}", job), finiteStep(job % kinds));
+        ++job;
+        const auto from = std::chrono::steady_clock::now();
+        f.settle();
+        latest = std::max(
+            latest,
+            std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - from)
+                .count());
+    }
+    const double us
+        = std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin)
+              .count();
+    const double starts = double(f.startsSeen - startsBefore);
+    const scheduler_counters after = f.core.counters();
+    fmt::print("burst on {} workers: {:.0f} starts in {} s, {} tasks wait, {:.1f} us a start with "
+               "its end and polls, {:.1f} workers examined a start, longest turn {:.1f} ms\n",
+               workers, starts, seconds, after.tasksWaiting, us / starts,
+               double(after.workersExamined - before.workersExamined) / starts, latest);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     const int seconds = argc > 1 ? std::atoi(argv[1]) : 10;
-    for (const auto &[workers, tasks] :
-         {std::pair(110, 3450), std::pair(220, 6900), std::pair(445, 13850), std::pair(890, 27700)})
-        measure(workers, tasks, seconds);
+    const std::string mode = argc > 2 ? argv[2] : "";
+    if (mode != "burst") {
+        for (const auto &[workers, tasks] : {std::pair(110, 3450), std::pair(220, 6900),
+                                             std::pair(445, 13850), std::pair(890, 27700)})
+            measureSize(workers, tasks, seconds);
+    }
+    if (mode != "sizes")
+        measureBurst(seconds);
     return 0;
 }
