Examine workers once per kind of step, and bound a pass

Callers waited 2.6 s for answers due in 0.3 s, and a new owner lost its lease: for every waiting task a walk over all workers and their images looked for the best one, and one handling of an event ordered all that had been held back.

A pass now computes each worker's cost once for each kind of step and keeps the candidates in a heap; after a start only the worker that was started on is examined again. The choices are the same, which scheduler_worker_choice_test compares with a walk over all workers. A pass ends after 200 starts, and only tick() runs passes, so that one turn of the event loop orders a bounded number of starts; the next pass is wanted at once.

--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -14,6 +14,10 @@
 /// Passes follow each other at this distance, so that one pass serves several events.
 constexpr duration dispatchInterval = 10ms;
 
+/// A pass ends after this many starts, and the next one goes on: a pass over everything that had
+/// been held back lasted longer than the owner's lease, and meanwhile no renewal was sent.
+constexpr int maxStartsOfPass = 200;
+
 /// Tasks that found no worker are offered again after this time even if nothing has changed, since
 /// workers are avoided for a limited time only.
 constexpr duration reviewInterval = 200ms;
@@ -72,73 +76,60 @@
             job.number};
 }
 
-bool hasWaitingTasks(const ready_step &step)
+std::vector<task_state> *tasksOf(const ready_step &step)
 {
     if (step.job->isOver())
-        return false;
+        return nullptr;
     const auto occurrence = step.job->occurrences.find(step.occurrence);
     if (occurrence == step.job->occurrences.end())
-        return false;
-    const auto &tasks = occurrence->second.steps[std::size_t(step.step)];
-    return std::any_of(tasks.begin(), tasks.end(),
-                       [](const task_state &task) { return task.phase == task_phase::waiting; });
+        return nullptr;
+    return &occurrence->second.steps[std::size_t(step.step)];
 }
 
-bool isSameStep(const ready_step &a, const ready_step &b)
+bool isWaiting(const task_state &task)
 {
-    return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
-}
-
-// Removes steps without waiting tasks and repeated ones, and sorts the others.
-void orderSteps(scheduler_state &state)
-{
-    auto &ready = state.ready;
-    ready.erase(std::remove_if(ready.begin(), ready.end(),
-                               [](const ready_step &step) { return !hasWaitingTasks(step); }),
-                ready.end());
-    std::vector<std::pair<urgency, ready_step>> ordered;
-    ordered.reserve(ready.size());
-    for (const ready_step &step : ready)
-        ordered.emplace_back(urgencyOf(state, step), step);
-    const auto before = [](const auto &a, const auto &b) {
-        if (a.first < b.first || b.first < a.first)
-            return a.first < b.first;
-        return std::tie(a.second.occurrence, a.second.step)
-            < std::tie(b.second.occurrence, b.second.step);
-    };
-    std::sort(ordered.begin(), ordered.end(), before);
-    ready.clear();
-    for (const auto &[key, step] : ordered) {
-        if (ready.empty() || !isSameStep(ready.back(), step))
-            ready.push_back(step);
-    }
+    return task.phase == task_phase::waiting;
 }
 
-// A size that found no worker in this pass; larger ones of the same kind need not try. Work in idle
-// room is of a kind by its image: where serving tasks cannot take one image, they may take another.
-struct missed_size
+/// A ready step in the order of a pass.
+struct ordered_step
 {
-    service_id service;
-    resources size;
-    bool fillsIdleRoom = false;
-    std::string fillingImage;
-    double pressureLimit = 0;
+    urgency key;
+    ready_step step;
+    std::vector<task_state> *tasks = nullptr;
+    std::int64_t waiting = 0; ///< Tasks of the step that wait.
 };
 
-bool isHopeless(const std::vector<missed_size> &missed, const step_spec &step,
-                const service_id &service, double pressureLimit)
+bool isSameStep(const ready_step &a, const ready_step &b)
 {
-    return std::any_of(missed.begin(), missed.end(), [&](const missed_size &m) {
-        return m.service == service && m.fillsIdleRoom == step.fillsIdleRoom
-            && (!step.fillsIdleRoom
-                || (m.fillingImage == step.image && m.pressureLimit >= pressureLimit))
-            && fitsInto(m.size, step.size);
-    });
+    return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
 }
 
-bool isPlain(const step_spec &step)
+// Removes steps without waiting tasks and repeated ones, and returns the others, sorted.
+std::vector<ordered_step> orderSteps(scheduler_state &state)
 {
-    return step.requiredLabel.empty() && step.maxPerWorker == 0;
+    std::vector<ordered_step> ordered;
+    ordered.reserve(state.ready.size());
+    for (const ready_step &step : state.ready) {
+        std::vector<task_state> *tasks = tasksOf(step);
+        const std::int64_t waiting
+            = tasks == nullptr ? 0 : std::count_if(tasks->begin(), tasks->end(), isWaiting);
+        if (waiting > 0)
+            ordered.push_back({urgencyOf(state, step), step, tasks, waiting});
+    }
+    const auto before = [](const ordered_step &a, const ordered_step &b) {
+        if (a.key < b.key || b.key < a.key)
+            return a.key < b.key;
+        return std::tie(a.step.occurrence, a.step.step) < std::tie(b.step.occurrence, b.step.step);
+    };
+    std::sort(ordered.begin(), ordered.end(), before);
+    const auto isSame
+        = [](const ordered_step &a, const ordered_step &b) { return isSameStep(a.step, b.step); };
+    ordered.erase(std::unique(ordered.begin(), ordered.end(), isSame), ordered.end());
+    state.ready.clear();
+    for (const ordered_step &step : ordered)
+        state.ready.push_back(step.step);
+    return ordered;
 }
 
 class dispatch_pass
@@ -146,53 +137,54 @@
 public:
     explicit dispatch_pass(scheduler_state &state)
         : m_state(state)
+        , m_chooser(state)
     { }
 
-    void run()
+    /// Returns true if the pass ended at the bound of its starts.
+    bool run()
     {
-        orderSteps(m_state);
         m_isSlack = isSlack();
         std::int64_t waiting = 0;
-        for (const ready_step &step : m_state.ready)
-            waiting += offer(step);
+        for (const ordered_step &step : orderSteps(m_state))
+            waiting += step.waiting - offer(step);
         m_state.counters.tasksWaiting = waiting;
+        return m_starts == maxStartsOfPass;
     }
 
 private:
-    // Returns the number of tasks of the step that go on waiting.
-    std::int64_t offer(const ready_step &ready)
+    // Returns the number of tasks of the step that were started.
+    std::int64_t offer(const ordered_step &ordered)
     {
+        const ready_step &ready = ordered.step;
         job_record &job = *ready.job;
         const step_spec &step = job.spec.steps[std::size_t(ready.step)];
-        auto &tasks = job.occurrences.at(ready.occurrence).steps[std::size_t(ready.step)];
+        std::vector<task_state> &tasks = *ordered.tasks;
         std::map<worker_id, int> tasksOfStep;
-        rack_id rack = step.dataRack;
+        worker_request request;
+        request.step = &step;
+        request.service = job.policy.service;
+        request.tasksOfStep = &tasksOfStep;
+        request.preferredRack = step.dataRack;
+        const bool isLate = m_isSlack && ordered.key.expected >= outlook::late;
+        request.maxPressure = isLate ? maxPressureInSlack : maxPressure;
         for (const task_state &task : tasks) {
             if (mayRun(task))
-                noteTask(step, task.worker, tasksOfStep, rack);
+                noteTask(task.worker, request, tasksOfStep);
         }
-        const bool isLate = m_isSlack && urgencyOf(m_state, ready).expected >= outlook::late;
-        const double pressureLimit = isLate ? maxPressureInSlack : maxPressure;
-        std::int64_t waiting = 0;
-        for (int index = 0; index < int(tasks.size()); ++index) {
+        const int before = m_starts;
+        for (int index = 0; index < int(tasks.size()) && m_starts < maxStartsOfPass; ++index) {
             task_state &task = tasks[std::size_t(index)];
-            if (task.phase != task_phase::waiting)
+            if (!isWaiting(task))
                 continue;
-            worker_record *worker = nullptr;
-            if (!isHopeless(m_missed, step, job.policy.service, pressureLimit))
-                worker = chooseWorker(
-                    m_state, {&step, job.policy.service, &tasksOfStep, rack, pressureLimit});
-            if (worker == nullptr) {
-                if (isPlain(step))
-                    m_missed.push_back({job.policy.service, step.size, step.fillsIdleRoom,
-                                        step.fillsIdleRoom ? step.image : std::string(),
-                                        pressureLimit});
-                return waiting + countWaiting(tasks, index);
-            }
+            worker_record *worker = m_chooser.choose(request);
+            if (worker == nullptr)
+                break;
             start(job, {job.spec.name, ready.occurrence, ready.step, index}, task, *worker);
-            noteTask(step, worker->info.id, tasksOfStep, rack);
+            m_chooser.noteStart(*worker);
+            noteTask(worker->info.id, request, tasksOfStep);
+            ++m_starts;
         }
-        return waiting;
+        return m_starts - before;
     }
 
     bool isSlack() const
@@ -207,20 +199,13 @@
         return double(used) < slackUse * double(capacity);
     }
 
-    void noteTask(const step_spec &step, const worker_id &worker,
-                  std::map<worker_id, int> &tasksOfStep, rack_id &rack) const
+    void noteTask(const worker_id &worker, worker_request &request,
+                  std::map<worker_id, int> &tasksOfStep) const
     {
-        if (step.maxPerWorker > 0)
+        if (request.step->maxPerWorker > 0)
             ++tasksOfStep[worker];
-        if (step.wantsOneRack && rack.empty())
-            rack = m_state.workers.at(worker).info.rack;
-    }
-
-    static std::int64_t countWaiting(const std::vector<task_state> &tasks, int from)
-    {
-        return std::count_if(tasks.begin() + from, tasks.end(), [](const task_state &task) {
-            return task.phase == task_phase::waiting;
-        });
+        if (request.step->wantsOneRack && request.preferredRack.empty())
+            request.preferredRack = m_state.workers.at(worker).info.rack;
     }
 
     int nextRun(const job_record &job, const task_state &task) const
@@ -254,8 +239,9 @@
     }
 
     scheduler_state &m_state;
+    worker_chooser m_chooser;
     bool m_isSlack = false;
-    std::vector<missed_size> m_missed;
+    int m_starts = 0;
 };
 
 } // namespace
@@ -271,9 +257,9 @@
         state.nextDispatchAt = state.now + reviewInterval;
         return;
     }
-    state.isDispatchWanted = false;
-    state.nextDispatchAt = state.now + dispatchInterval;
-    dispatch_pass(state).run();
+    const bool isAtBound = dispatch_pass(state).run();
+    state.isDispatchWanted = isAtBound;
+    state.nextDispatchAt = isAtBound ? state.now : state.now + dispatchInterval;
 }
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/dispatcher.h
+++ b/packages/scheduler/dispatcher.h
@@ -6,7 +6,9 @@
 
 namespace crocuswind::scheduler {
 
-/// Starts as many waiting tasks as find a worker.
+/// Starts waiting tasks that find a worker, up to a bounded number. To be called once in a turn of
+/// the event loop: the rest follows in later turns, so that input and the renewal of the owner's
+/// lease come in between.
 void dispatch(scheduler_state &state);
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -68,7 +68,8 @@
                   .count();
     }
 
-    // Does what follows from any event.
+    // Does what follows from any event. Tasks are started by tick() alone: one turn of the event
+    // loop may handle hundreds of events.
     void proceed()
     {
         if (state.isDeposed && state.isOwner) {
@@ -76,7 +77,6 @@
             return;
         }
         flushCommits(state);
-        dispatch(state);
         if (state.isOwner)
             pollWorkers(state);
     }
@@ -332,6 +332,7 @@
     i.state.counters.jobsKnown = std::int64_t(i.state.jobs.size());
     i.state.counters.jobsUncommitted = std::int64_t(i.state.dirtyJobs.size());
     i.state.counters.workersUnreported = std::int64_t(i.state.unreportedWorkers.size());
+    dispatch(i.state);
     i.proceed();
 }
 
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -38,6 +38,8 @@
 /// any worker whose serving tasks could just take it.
 constexpr double pressureCost = 20000;
 
+constexpr double infiniteCost = std::numeric_limits<double>::infinity();
+
 bool hasLabel(const worker_info &info, const std::string &label)
 {
     return std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
@@ -59,34 +61,36 @@
         && worker.lease.isClockKnown() && !mayHaveForgottenEpoch(state, worker);
 }
 
-bool isAllowed(const worker_request &request, const worker_record &worker)
+bool hasRequiredLabel(const step_spec &step, const worker_record &worker)
 {
-    const step_spec &step = *request.step;
-    if (worker.info.service != request.service)
-        return false;
-    if (!step.requiredLabel.empty() && !hasLabel(worker.info, step.requiredLabel))
+    return step.requiredLabel.empty() || hasLabel(worker.info, step.requiredLabel);
+}
+
+// Returns true if the worker runs as many tasks of the step as it may.
+bool isAtBound(const worker_request &request, const worker_record &worker)
+{
+    if (request.step->maxPerWorker == 0 || request.tasksOfStep == nullptr)
         return false;
-    if (step.maxPerWorker > 0 && request.tasksOfStep != nullptr) {
-        const auto found = request.tasksOfStep->find(worker.info.id);
-        if (found != request.tasksOfStep->end() && found->second >= step.maxPerWorker)
-            return false;
-    }
-    return true;
+    const auto found = request.tasksOfStep->find(worker.info.id);
+    return found != request.tasksOfStep->end() && found->second >= request.step->maxPerWorker;
 }
 
-bool hasRoom(const step_spec &step, const worker_record &worker)
+free_room freeRoomOf(const worker_record &worker)
+{
+    const bool isLate
+        = std::any_of(worker.serving.begin(), worker.serving.end(), [](const auto &entry) {
+              return entry.second.latencyRatio > maxRatioForFill;
+          });
+    return {worker.room(), idleMilliCores(worker), !isLate};
+}
+
+bool hasRoom(const step_spec &step, const free_room &room)
 {
-    resources needed = step.size;
     if (!step.fillsIdleRoom)
-        return fitsInto(needed, worker.room());
-    needed.milliCores = 0;
-    if (!fitsInto(needed, worker.room()))
-        return false;
-    for (const auto &[image, serving] : worker.serving) {
-        if (serving.latencyRatio > maxRatioForFill)
-            return false;
-    }
-    return double(idleMilliCores(worker)) >= double(step.size.milliCores) * minIdleShare;
+        return fitsInto(step.size, room.unreserved);
+    return room.takesFill
+        && fitsInto({0, step.size.memoryMb, step.size.accelerators}, room.unreserved)
+        && double(room.idleMilliCores) >= double(step.size.milliCores) * minIdleShare;
 }
 
 std::size_t otherImages(const step_spec &step, const worker_record &worker)
@@ -130,16 +134,29 @@
 }
 
 // Lower is better. The part that is cheap to compute, and never more than the whole cost.
-double leastCost(const worker_request &request, const worker_record &worker)
+double leastCost(const worker_request &request, const worker_record &worker, const free_room &room)
 {
     const step_spec &step = *request.step;
     double cost = 0;
     if (!request.preferredRack.empty() && worker.info.rack != request.preferredRack)
         cost += 1e9;
     if (step.fillsIdleRoom)
-        return cost - double(idleMilliCores(worker))
+        return cost - double(room.idleMilliCores)
             + double(otherImages(step, worker)) * otherImageCost;
-    return cost + double(worker.room().milliCores - step.size.milliCores);
+    return cost + double(room.unreserved.milliCores - step.size.milliCores);
+}
+
+// The whole cost, of which \p cost is the cheap part; infinite if serving tasks there do not bear
+// the work.
+double wholeCost(const scheduler_state &state, const worker_request &request,
+                 const worker_record &worker, double cost, const std::vector<double> &coefficients)
+{
+    const step_spec &step = *request.step;
+    if (step.fillsIdleRoom) {
+        const double pressure = fillPressure(worker, coefficients, step.size.milliCores);
+        return pressure > request.maxPressure ? infiniteCost : cost + pressure * pressureCost;
+    }
+    return step.latencyTargetMs > 0 ? cost + servingCost(state, worker, step.image) : cost;
 }
 
 } // namespace
@@ -158,30 +175,189 @@
     if (step.fillsIdleRoom)
         coefficients = state.interference.coefficientsOf(step.image);
     worker_record *best = nullptr;
-    double bestCost = std::numeric_limits<double>::infinity();
+    double bestCost = infiniteCost;
     for (auto &[id, worker] : state.workers) {
         ++state.counters.workersExamined;
-        if (!isOpen(state, worker) || !hasRoom(step, worker) || !isAllowed(request, worker))
+        if (!isOpen(state, worker) || worker.info.service != request.service)
             continue;
-        double cost = leastCost(request, worker);
+        const free_room room = freeRoomOf(worker);
+        if (!hasRoom(step, room) || !hasRequiredLabel(step, worker) || isAtBound(request, worker))
+            continue;
+        const double least = leastCost(request, worker, room);
+        if (least >= bestCost)
+            continue;
+        const double cost = wholeCost(state, request, worker, least, coefficients);
         if (cost >= bestCost)
             continue;
-        if (step.fillsIdleRoom) {
-            const double pressure = fillPressure(worker, coefficients, step.size.milliCores);
-            if (pressure > request.maxPressure)
-                continue;
-            cost += pressure * pressureCost;
-            if (cost >= bestCost)
-                continue;
-        } else if (step.latencyTargetMs > 0) {
-            cost += servingCost(state, worker, step.image);
-            if (cost >= bestCost)
-                continue;
-        }
         bestCost = cost;
         best = &worker;
     }
     return best;
 }
 
+worker_chooser::worker_chooser(scheduler_state &state)
+    : m_state(state)
+{
+    for (auto &[id, worker] : state.workers) {
+        if (isOpen(state, worker))
+            m_pools[worker.info.service].workers.push_back({&worker, freeRoomOf(worker), 0});
+    }
+}
+
+worker_record *worker_chooser::choose(const worker_request &request)
+{
+    const auto pool = m_pools.find(request.service);
+    if (pool == m_pools.end())
+        return nullptr;
+    request_kind &kind = kindOf(pool->second, request);
+    if (kind.isUnplaceable)
+        return nullptr;
+    regardStarts(pool->second, kind, request);
+    worker_record *best = takeBest(pool->second, kind, request);
+    if (kind.heap.empty()) {
+        kind.isUnplaceable = true;
+        pool->second.unplaceable.push_back(keyOf(request));
+        pool->second.unplaceable.back().preferredRack = {};
+    }
+    return best;
+}
+
+void worker_chooser::noteStart(const worker_record &worker)
+{
+    worker_pool &pool = m_pools.at(worker.info.service);
+    const auto found = std::lower_bound(
+        pool.workers.begin(), pool.workers.end(), worker.info.id,
+        [](const open_worker &open, const worker_id &id) { return open.record->info.id < id; });
+    found->room = freeRoomOf(worker);
+    ++found->version;
+    pool.starts.push_back(int(found - pool.workers.begin()));
+}
+
+worker_chooser::kind_key worker_chooser::keyOf(const worker_request &request)
+{
+    const step_spec &step = *request.step;
+    kind_key key;
+    key.size = step.size;
+    key.fillsIdleRoom = step.fillsIdleRoom;
+    key.isServing = !step.fillsIdleRoom && step.latencyTargetMs > 0;
+    if (step.fillsIdleRoom)
+        key.maxPressure = request.maxPressure;
+    if (key.fillsIdleRoom || key.isServing)
+        key.image = step.image;
+    key.requiredLabel = step.requiredLabel;
+    key.preferredRack = request.preferredRack.value;
+    return key;
+}
+
+// What is not smaller than a kind without a worker has none either. Work in idle room is compared
+// by its image: where serving tasks cannot take one image, they may take another.
+bool worker_chooser::isUnplaceable(const worker_pool &pool, const kind_key &key)
+{
+    return std::any_of(
+        pool.unplaceable.begin(), pool.unplaceable.end(), [&](const kind_key &missed) {
+            return missed.requiredLabel.empty() && missed.fillsIdleRoom == key.fillsIdleRoom
+                && (!key.fillsIdleRoom
+                    || (missed.image == key.image && missed.maxPressure >= key.maxPressure))
+                && fitsInto(missed.size, key.size);
+        });
+}
+
+worker_chooser::request_kind &worker_chooser::kindOf(worker_pool &pool,
+                                                     const worker_request &request)
+{
+    kind_key key = keyOf(request);
+    const auto found = pool.kinds.find(key);
+    if (found != pool.kinds.end())
+        return *found->second;
+    request_kind &kind = pool.kindStore.emplace_back();
+    kind.preferredRack = request.preferredRack;
+    key.preferredRack = kind.preferredRack.value;
+    pool.kinds.emplace(key, &kind);
+    kind.startsSeen = pool.starts.size();
+    kind.isUnplaceable = isUnplaceable(pool, key);
+    if (kind.isUnplaceable)
+        return kind;
+    if (request.step->fillsIdleRoom)
+        kind.coefficients = m_state.interference.coefficientsOf(request.step->image);
+    for (int worker = 0; worker < int(pool.workers.size()); ++worker)
+        addCandidate(pool, kind, request, worker);
+    std::make_heap(kind.heap.begin(), kind.heap.end(), isDearer);
+    return kind;
+}
+
+// Leaves the heap to be set right by the caller.
+void worker_chooser::addCandidate(worker_pool &pool, request_kind &kind,
+                                  const worker_request &request, int worker)
+{
+    ++m_state.counters.workersExamined;
+    const open_worker &open = pool.workers[std::size_t(worker)];
+    if (!hasRoom(*request.step, open.room) || !hasRequiredLabel(*request.step, *open.record))
+        return;
+    kind.heap.push_back({leastCost(request, *open.record, open.room), worker, open.version, false});
+}
+
+// Adds the workers that were started on since with their present cost. What the heap held for them
+// is of an older version.
+void worker_chooser::regardStarts(worker_pool &pool, request_kind &kind,
+                                  const worker_request &request)
+{
+    for (; kind.startsSeen < pool.starts.size(); ++kind.startsSeen) {
+        const int worker = pool.starts[kind.startsSeen];
+        const std::size_t size = kind.heap.size();
+        addCandidate(pool, kind, request, worker);
+        if (kind.heap.size() > size)
+            std::push_heap(kind.heap.begin(), kind.heap.end(), isDearer);
+        regardBudgets(*pool.workers[std::size_t(worker)].record, kind, request);
+    }
+}
+
+// A start may have brought a serving image that the model had no number for.
+void worker_chooser::regardBudgets(const worker_record &worker, request_kind &kind,
+                                   const worker_request &request) const
+{
+    const bool isKnown = std::all_of(
+        worker.budgets.begin(), worker.budgets.end(), [&](const interference_budget &budget) {
+            return std::size_t(budget.serving) < kind.coefficients.size();
+        });
+    if (request.step->fillsIdleRoom && !isKnown)
+        kind.coefficients = m_state.interference.coefficientsOf(request.step->image);
+}
+
+// The best stays in the heap. Workers that are only at the bound of this step's tasks stay as well.
+worker_record *worker_chooser::takeBest(worker_pool &pool, request_kind &kind,
+                                        const worker_request &request)
+{
+    std::vector<candidate> &heap = kind.heap;
+    std::vector<candidate> atBound;
+    worker_record *best = nullptr;
+    while (!heap.empty() && best == nullptr) {
+        candidate first = heap.front();
+        const open_worker &open = pool.workers[std::size_t(first.worker)];
+        const bool isPresent = first.version == open.version;
+        const bool isFull = isPresent && isAtBound(request, *open.record);
+        if (isPresent && first.isWhole && !isFull) {
+            best = open.record;
+            continue;
+        }
+        std::pop_heap(heap.begin(), heap.end(), isDearer);
+        heap.pop_back();
+        if (isFull)
+            atBound.push_back(first);
+        if (!isPresent || isFull)
+            continue;
+        ++m_state.counters.workersExamined;
+        first.cost = wholeCost(m_state, request, *open.record, first.cost, kind.coefficients);
+        first.isWhole = true;
+        if (first.cost == infiniteCost)
+            continue;
+        heap.push_back(first);
+        std::push_heap(heap.begin(), heap.end(), isDearer);
+    }
+    for (const candidate &c : atBound) {
+        heap.push_back(c);
+        std::push_heap(heap.begin(), heap.end(), isDearer);
+    }
+    return best;
+}
+
 } // namespace crocuswind::scheduler
--- /dev/null
+++ b/test/correctness/scheduler_worker_choice_test.cpp
@@ -0,0 +1,135 @@
+// Guards against choices from remembered costs that differ from those of a look at all workers.
+
+#include "correctness/job_submission.h"
+#include "scheduler/task_lifecycle.h"
+#include "scheduler/worker_choice.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+using namespace crocuswind;
+using namespace crocuswind::scheduler;
+
+namespace {
+
+class silent_ports final : public scheduler_ports
+{
+public:
+    void start(const start_order &) override { }
+    void stop(const stop_order &) override { }
+    void pace(const pace_order &) override { }
+    void poll(const poll_order &) override { }
+    void commit(commit_batch) override { }
+    void answer(const job_reply &) override { }
+    void log(const std::string &, const std::string &) override { }
+    void logDetail(const std::string &, const std::string &) override { }
+};
+
+/// Workers of two services, which fill up with steps drawn at random.
+struct filling_site
+{
+    explicit filling_site(std::uint64_t seed)
+        : random(seed)
+        , state(scheduler_settings(), ports)
+    {
+        state.now = instant(1000s);
+        state.soleUntil = state.now + 10s;
+        for (int i = 0; i < 60; ++i)
+            addWorker(i);
+        for (int i = 0; i < 400; ++i)
+            state.interference.observe(image("serving"), 0.3 + random.fraction(), 0.4,
+                                       {{image("filling"), random.fraction()}});
+    }
+
+    std::string image(const std::string &kind)
+    {
+        return fmt::format("{}-{}", kind, random.below(5));
+    }
+
+    void addWorker(int number)
+    {
+        worker_info info;
+        info.id.value = fmt::format("w{:02}", number);
+        info.service.value = number % 7 == 0 ? "other" : "pool";
+        info.rack.value = fmt::format("rack-{}", number % 3);
+        info.labels = {number % 4 == 0 ? "a" : "b"};
+        info.capacity = {16000, 64000, number % 2};
+        worker_record &worker = state.workers[info.id];
+        worker.info = info;
+        worker.isListed = number % 11 != 0;
+        worker.isRecorded = true;
+        worker.isCurrent = true;
+        worker.lease.noteClock(1000, state.now);
+        worker.avoidedUntil = state.now + (number % 13 == 0 ? 1s : -1s);
+    }
+
+    step_spec randomStep()
+    {
+        step_spec step;
+        step.count = 1 + int(random.below(12));
+        step.size = {std::int64_t(500 * (1 + random.below(6))), 1000, random.below(20) == 0};
+        step.requiredLabel = random.below(5) == 0 ? "a" : "";
+        step.maxPerWorker = random.below(4) == 0 ? 1 : 0;
+        step.dataRack.value = random.below(4) == 0 ? "rack-1" : "";
+        const std::uint64_t use = random.below(3);
+        step.fillsIdleRoom = use == 0;
+        step.latencyTargetMs = use == 1 ? 100 : 0;
+        step.image = image(use == 0 ? "filling" : "serving");
+        return step;
+    }
+
+    job_record &addJob(const step_spec &step)
+    {
+        const job_name name{fmt::format("job-{}", state.jobs.size())};
+        auto job = std::make_unique<job_record>();
+        job->spec = *submissionOf(name.value, step).spec;
+        job->policy.service.value = random.below(6) == 0 ? "other" : "pool";
+        job->occurrences.emplace(0, newOccurrence(job->spec, 0, state.now));
+        return *(state.jobs[name] = std::move(job));
+    }
+
+    // Compares the choices for all tasks of a random step, and binds a run to each chosen worker.
+    void placeRandomStep(worker_chooser &chooser)
+    {
+        job_record &job = addJob(randomStep());
+        std::map<worker_id, int> tasksOfStep;
+        worker_request request;
+        request.step = &job.spec.steps[0];
+        request.service = job.policy.service;
+        request.tasksOfStep = &tasksOfStep;
+        request.preferredRack = request.step->dataRack;
+        request.maxPressure = random.below(2) == 0 ? 1 : 4;
+        for (int index = 0; index < request.step->count; ++index) {
+            worker_record *const plain = chooseWorker(state, request);
+            worker_record *const chosen = chooser.choose(request);
+            ASSERT_EQ(chosen, plain) << job.spec.name.value << " task " << index;
+            ++(chosen == nullptr ? missed : placed);
+            if (chosen == nullptr)
+                return;
+            const task_name name{job.spec.name, 0, 0, index};
+            bindRun(state, *chosen, name, *job.find(name), 1);
+            chooser.noteStart(*chosen);
+            ++tasksOfStep[chosen->info.id];
+        }
+    }
+
+    seeded_random random;
+    silent_ports ports;
+    scheduler_state state;
+    int placed = 0;
+    int missed = 0;
+};
+
+} // namespace
+
+TEST(WorkerChooser, ChoosesWhatALookAtAllWorkersChooses)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        filling_site site(seed);
+        worker_chooser chooser(site.state);
+        for (int step = 0; step < 200; ++step)
+            ASSERT_NO_FATAL_FAILURE(site.placeRandomStep(chooser)) << "seed " << seed;
+        EXPECT_GT(site.placed, 200) << "seed " << seed;
+        EXPECT_GT(site.missed, 20) << "seed " << seed;
+    }
+}
