--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -39,6 +39,7 @@
     instant bootedAt;
     bool isUp = true;
     bool isReplaced = false; ///< Another worker answers at its address.
+    bool isListed = true; ///< Service discovery has it.
     std::int64_t highestEpoch = 0;
     std::int64_t leaseUntilMs = 0;
     std::map<task_name, run_state> runs;
@@ -126,6 +127,9 @@
     /// Restarts a worker's process: it knows nothing of before.
     void restartWorker(fake_worker &worker);
 
+    /// Ends a worker's process with all that runs there, and takes it out of service discovery.
+    void leave(fake_worker &worker);
+
     /// Carries out orders on a worker.
     order_result carryOut(fake_worker &worker, const start_order &order);
     order_result carryOut(fake_worker &worker, const stop_order &order);
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -417,8 +417,10 @@
     confirm(owner);
     owner.core.takeOver(now, unixMs(), owner.epoch, records,
                         now + election_settings().authorityLimit);
-    for (const auto &[id, worker] : workers)
-        owner.core.onWorker(now, worker.info);
+    for (const auto &[id, worker] : workers) {
+        if (worker.isListed)
+            owner.core.onWorker(now, worker.info);
+    }
     owner.wake();
 }
 
@@ -471,6 +473,18 @@
     worker.isUp = true;
 }
 
+inline void scheduler_world::leave(fake_worker &worker)
+{
+    worker.runs.clear();
+    worker.ended.clear();
+    worker.isUp = false;
+    worker.isListed = false;
+    for (const auto &owner : owners) {
+        if (!owner->isDead)
+            owner->core.onWorkerGone(now, worker.info.id);
+    }
+}
+
 inline std::int64_t scheduler_world::unixMs() const
 {
     return 1700000000000 + toMs(now.time_since_epoch());
