Tell refused connections from unanswered ones

A caller of http_client could not know whether a peer's process has ended or whether the peer does not answer. evhttp closes the socket before it reports a failed connection, so the error code is taken from the bufferevent's callback, or from the call itself if the system refuses at once (on loopback).

--- a/packages/io/http_client.cpp
+++ b/packages/io/http_client.cpp
@@ -4,6 +4,7 @@
 #include "libevent_time.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <deque>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -56,6 +57,8 @@
         ip_endpoint to;
         bool isDisposed = false;
         bool isConfigured = false;
+        bool isRefused = false;
+        bufferevent_event_cb connectCallback = nullptr; ///< Of evhttp, while connecting.
         instant idleSince;
     };
 
@@ -208,10 +211,31 @@
         const instant connected = std::min(call.deadline, now + settings.connectLimit);
         state.timer = loop.callAt(connected, [this, id = state.id] { onTimer(id); });
         // May call onDone() at once, if the system refuses the connection without waiting.
+        errno = 0;
         const int failed
             = evhttp_make_request(c.wire, request, commandOf(call.method), call.path.c_str());
+        c.isRefused = errno == ECONNREFUSED;
         if (failed != 0 && c.current == &state)
             fail(c);
+        else if (!c.isConfigured && !c.isDisposed && !settings.tls)
+            watchConnect(c);
+    }
+
+    // evhttp does not say why a connection failed, and closes the socket before it reports that.
+    static void watchConnect(connection &c)
+    {
+        bufferevent *socket = evhttp_connection_get_bufferevent(c.wire);
+        bufferevent_getcb(socket, nullptr, nullptr, &c.connectCallback, nullptr);
+        bufferevent_setcb(socket, nullptr, nullptr, &implementation::onConnect, &c);
+    }
+
+    // Once connected, evhttp sets its own callbacks again.
+    static void onConnect(bufferevent *socket, short what, void *argument)
+    {
+        auto *c = static_cast<connection *>(argument);
+        if ((what & BEV_EVENT_ERROR) != 0 && errno == ECONNREFUSED)
+            c->isRefused = true;
+        c->connectCallback(socket, what, c->wire);
     }
 
     void onTimer(http_call_id id)
@@ -248,9 +272,10 @@
         call_state &state = *c.current;
         const auto outcome
             = state.bytesSent ? http_outcome::no_answer : http_outcome::not_connected;
+        const bool isRefused = !state.bytesSent && c.isRefused;
         c.current = nullptr;
         dispose(c);
-        finish(state, {outcome, 0, {}, {}});
+        finish(state, {outcome, 0, {}, {}, isRefused});
     }
 
     // Hands the result over in the next round, since this may run within a caller's own call.
--- a/packages/io/http_client.h
+++ b/packages/io/http_client.h
@@ -53,6 +53,9 @@
     int status = 0;
     http_headers headers;
     std::string body;
+    /// With `not_connected`: nothing listens at the address, so a process that did has ended. Not
+    /// told with TLS.
+    bool isRefused = false;
 };
 
 /// Names a call in progress; 0 is never used.
--- a/test/failure/io_http_test.cpp
+++ b/test/failure/io_http_test.cpp
@@ -123,7 +123,49 @@
 
 TEST_F(http_test, RefusedConnectionIsNotConnected)
 {
-    EXPECT_EQ(exchange(callTo(unusedEndpoint(loop))).outcome, http_outcome::not_connected);
+    const http_call call = callTo(unusedEndpoint(loop));
+    for (int i = 0; i < 3; ++i) {
+        const http_result result = exchange(call);
+        EXPECT_EQ(result.outcome, http_outcome::not_connected);
+        EXPECT_TRUE(result.isRefused);
+    }
+}
+
+TEST_F(http_test, ConnectionIsRefusedOnlyUntilAProcessListens)
+{
+    const ip_endpoint to = unusedEndpoint(loop);
+    EXPECT_TRUE(exchange(callTo(to)).isRefused);
+    http_server late(loop, {}, [](const http_request &, const http_responder &r) { r.answer({}); });
+    ASSERT_TRUE(late.listen(to));
+    EXPECT_EQ(exchange(callTo(to)).outcome, http_outcome::answered);
+}
+
+// A refused connection proves that the process at the address has ended; one that is not answered
+// proves nothing.
+TEST_F(http_test, UnansweredConnectionIsNotRefused)
+{
+    const unaccepting_listener listener(loop);
+    http_client_settings settings;
+    settings.connectLimit = 50ms;
+    http_client hasty(loop, settings);
+    // Leaves its error code behind, which must not be taken for that of the next connection.
+    EXPECT_TRUE(exchange(callTo(unusedEndpoint(loop))).isRefused);
+    std::optional<http_result> result;
+    hasty.send(callTo(listener.endpoint), [&](const http_result &r) { result = r; });
+    EXPECT_TRUE(loop.runUntil([&] { return result.has_value(); }, testLimit));
+    EXPECT_EQ(result->outcome, http_outcome::not_connected);
+    EXPECT_FALSE(result->isRefused);
+}
+
+TEST_F(http_test, ConnectionCutInUseIsNotRefused)
+{
+    raw_server raw(
+        loop, [](raw_connection &c) { c.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); });
+    EXPECT_EQ(exchange(callTo(raw.endpoint)).outcome, http_outcome::answered);
+    raw.connections[0]->onBytes = [](raw_connection &c) { c.close(); };
+    const http_result result = exchange(callTo(raw.endpoint));
+    EXPECT_EQ(result.outcome, http_outcome::no_answer);
+    EXPECT_FALSE(result.isRefused);
 }
 
 TEST_F(http_test, HostNamesAreNotResolved)
--- a/test/failure/io_raw_peer.h
+++ b/test/failure/io_raw_peer.h
@@ -123,6 +123,36 @@
     evconnlistener *m_listener;
 };
 
+/// Listens and lets no further connection come about: its queue is full.
+class unaccepting_listener
+{
+public:
+    explicit unaccepting_listener(event_loop &loop)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address = {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        EXPECT_EQ(bind(m_socket, reinterpret_cast<sockaddr *>(&address), length), 0);
+        EXPECT_EQ(listen(m_socket, 0), 0);
+        getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &length);
+        endpoint = {"127.0.0.1", ntohs(address.sin_port)};
+        constexpr int connectionsToFillTheQueue = 4;
+        for (int i = 0; i < connectionsToFillTheQueue; ++i)
+            m_waiting.push_back(std::make_unique<raw_connection>(loop, endpoint));
+    }
+    ~unaccepting_listener() { evutil_closesocket(m_socket); }
+    unaccepting_listener(const unaccepting_listener &) = delete;
+    unaccepting_listener &operator=(const unaccepting_listener &) = delete;
+
+    ip_endpoint endpoint;
+
+private:
+    evutil_socket_t m_socket;
+    std::vector<std::unique_ptr<raw_connection>> m_waiting;
+};
+
 /// Returns an endpoint on which nobody listens: the port of a listener that is gone.
 inline ip_endpoint unusedEndpoint(event_loop &loop)
 {
