Take a refused connection for the end of the worker's process

After a change of the owner, callers saw lasting tasks and waiting jobs held back for 8 s if a former worker had left: the new owner had no address for it, and waited until its lease must have lapsed. The stored list of workers now keeps the address of each, which a worker must have there before it is used, and a worker whose address refuses a connection holds nothing back: its process is gone, with all that it had confirmed before it was asked. Starts without an answer are still looked for, since a next process may carry them out.

scheduler_departed_worker_test passes.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -48,12 +48,13 @@
     return text.substr(0, prefix.size()) == prefix;
 }
 
-// One identifier a line.
+// One worker a line: its identifier and its address, which a later owner asks even if service
+// discovery does not have it any more.
 std::string joinWorkers(const scheduler_state &state)
 {
     std::string text;
     for (const auto &[id, worker] : state.workers)
-        text += id.value + '\n';
+        text += id.value + ' ' + worker.info.address + '\n';
     return text;
 }
 
@@ -74,7 +75,7 @@
 {
     batch.puts.push_back({workersKey(state), joinWorkers(state), 0});
     for (const auto &[id, worker] : state.workers)
-        state.committingWorkers.push_back(id);
+        state.committingWorkers.emplace_back(id, worker.info.address);
     state.isWorkerListDirty = false;
 }
 
@@ -177,10 +178,13 @@
     std::size_t begin = 0;
     for (std::size_t end = text.find('\n'); end != std::string::npos;
          end = text.find('\n', begin)) {
-        const worker_id id{text.substr(begin, end - begin)};
+        const std::string line = text.substr(begin, end - begin);
         begin = end + 1;
+        const std::size_t space = std::min(line.rfind(' '), line.size());
+        const worker_id id{line.substr(0, space)};
         worker_record &worker = state.workers[id];
         worker.info.id = id;
+        worker.info.address = line.substr(std::min(space + 1, line.size()));
         worker.lease.limitLapse(inheritedUntil);
         state.unreportedWorkers.insert(id);
     }
@@ -252,9 +256,9 @@
     state.committing.clear();
     for (const auto &[name, waiters] : finished)
         finishRecord(state, name, waiters);
-    for (const worker_id &id : state.committingWorkers) {
+    for (const auto &[id, address] : state.committingWorkers) {
         worker_record *worker = state.findWorker(id);
-        if (worker == nullptr || worker->isRecorded)
+        if (worker == nullptr || worker->isRecorded || worker->info.address != address)
             continue;
         worker->isRecorded = true;
         state.isDispatchWanted = true;
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -219,8 +219,10 @@
     i.enter(now);
     const auto [found, isNew] = i.state.workers.try_emplace(info.id);
     worker_record &worker = found->second;
-    if (isNew)
+    if (isNew || worker.info.address != info.address) {
         i.state.isWorkerListDirty = true;
+        worker.isRecorded = false;
+    }
     const bool isOtherIncarnation
         = info.bornUnixMs != 0 && worker.bornUnixMs != 0 && info.bornUnixMs > worker.bornUnixMs;
     if (isOtherIncarnation)
--- a/packages/scheduler/scheduler_ports.h
+++ b/packages/scheduler/scheduler_ports.h
@@ -46,6 +46,7 @@
 struct poll_order
 {
     worker_id worker;
+    std::string address; ///< Further orders to the worker go there too.
     std::uint64_t number = 0; ///< Increases for each worker; comes back with the result.
     std::int64_t epoch = 0;
     std::int64_t ackedEnds = 0; ///< Ends up to this number may be forgotten.
@@ -64,6 +65,7 @@
     invalid, ///< The worker does not understand the order.
     not_done, ///< Surely not carried out; the worker is unwell or was not reached.
     other_incarnation, ///< The worker was started anew.
+    process_ended, ///< Not carried out: nothing listens at the worker's address.
     no_answer, ///< May have been carried out, or may be carried out later.
 };
 
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -84,7 +84,8 @@
     bool isWorkerListDirty = false;
     instant nextModelAt; ///< When the interference model may be written next.
     std::string storedModel; ///< As written last.
-    std::vector<worker_id> committingWorkers; ///< In the list of the batch under way.
+    /// In the list of the batch under way, with their addresses.
+    std::vector<std::pair<worker_id, std::string>> committingWorkers;
     instant nextCommitAt;
     std::deque<std::pair<instant, job_name>> expiring; ///< When ended jobs are forgotten.
 
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -361,6 +361,12 @@
     state.isDispatchWanted = true;
 }
 
+void noteReported(scheduler_state &state, const worker_id &worker)
+{
+    if (state.unreportedWorkers.erase(worker) != 0 && state.unreportedWorkers.empty())
+        releaseUnlocatedTasks(state);
+}
+
 void bindRun(scheduler_state &state, worker_record &worker, const task_name &name, task_state &task,
              int run)
 {
@@ -368,6 +374,8 @@
     task.worker = worker.info.id;
     task.lastRun = std::max(task.lastRun, run);
     task.pacePercent = 100;
+    task.settledPoll = 0;
+    task.isStartAnswered = false;
     task.isStopAnswered = false;
     worker.runs[name] = run;
     addLoad(worker, step, 1);
@@ -422,15 +430,20 @@
         worker.ends.settle(end.number);
 }
 
-void loseRuns(scheduler_state &state, worker_record &worker, const char *reason)
+void loseRuns(scheduler_state &state, worker_record &worker, const char *reason,
+              const std::function<bool(const task_state &)> &isLost)
 {
-    if (worker.runs.empty())
+    std::vector<task_name> lost;
+    for (const auto &[name, run] : worker.runs) {
+        if (isLost(*state.findTask(name)))
+            lost.push_back(name);
+    }
+    if (lost.empty())
         return;
-    state.ports.log("runs_lost",
-                    fmt::format("worker={} runs={} reason={}", worker.info.id.value,
-                                worker.runs.size(), reason));
-    const auto runs = worker.runs;
-    for (const auto &[name, run] : runs) {
+    state.ports.log(
+        "runs_lost",
+        fmt::format("worker={} runs={} reason={}", worker.info.id.value, lost.size(), reason));
+    for (const task_name &name : lost) {
         task_state &task = *state.findTask(name);
         unbindRun(state, name, task);
         requeue(state, name, task);
--- a/packages/scheduler/task_lifecycle.h
+++ b/packages/scheduler/task_lifecycle.h
@@ -4,6 +4,8 @@
 
 #include "scheduler_state.h"
 
+#include <functional>
+
 namespace crocuswind::scheduler {
 
 /// Schedules the occurrences of a job that has just become durable.
@@ -19,6 +21,9 @@
 /// Lets tasks start that no worker can be running any more.
 void releaseUnlocatedTasks(scheduler_state &state);
 
+/// Nothing that an earlier owner started can be on the worker without our knowledge any more.
+void noteReported(scheduler_state &state, const worker_id &worker);
+
 /// Notes that \p run of the task may exist on \p worker.
 void bindRun(scheduler_state &state, worker_record &worker, const task_name &name, task_state &task,
              int run);
@@ -35,8 +40,11 @@
 /// Fails the job if one of its tasks has used up its attempts, once the limit is known.
 void failIfExhausted(scheduler_state &state, job_record &job);
 
-/// All runs on the worker are gone without a listed end.
-void loseRuns(scheduler_state &state, worker_record &worker, const char *reason);
+/// All runs on the worker, or those that \p isLost names, are gone without a listed end.
+void loseRuns(
+    scheduler_state &state, worker_record &worker, const char *reason,
+    const std::function<bool(const task_state &)> &isLost
+    = [](const task_state &) { return true; });
 
 /// Orders the worker to stop the current run.
 void sendStop(scheduler_state &state, const task_name &name, task_state &task);
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -18,6 +18,9 @@
 struct worker_info
 {
     worker_id id;
+    /// Where it is reached, as text that only what carries orders understands. It changes only when
+    /// the worker starts anew.
+    std::string address;
     service_id service; ///< The pool that it belongs to.
     data_centre_id dataCentre;
     rack_id rack; ///< Empty if it did not say.
@@ -29,7 +32,7 @@
     friend bool operator==(const worker_info &a, const worker_info &b)
     {
         const auto tied = [](const worker_info &w) {
-            return std::tie(w.id, w.service, w.dataCentre, w.rack, w.labels, w.capacity,
+            return std::tie(w.id, w.address, w.service, w.dataCentre, w.rack, w.labels, w.capacity,
                             w.isDraining, w.bornUnixMs);
         };
         return tied(a) == tied(b);
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -52,6 +52,7 @@
 {
     poll_order order;
     order.worker = worker.info.id;
+    order.address = worker.info.address;
     order.number = ++worker.lastPoll;
     order.epoch = state.epoch;
     // A worker that may have been restarted would forget ends of its new incarnation by an old
@@ -112,6 +113,7 @@
         stopStray(state, worker, row);
         return;
     }
+    task->isStartAnswered = true;
     if (task->phase == task_phase::starting || task->phase == task_phase::uncertain)
         task->phase = task_phase::running;
     if (!row.saved.empty())
@@ -175,8 +177,7 @@
         worker.currentSince = state.now;
         state.isDispatchWanted = true;
     }
-    if (state.unreportedWorkers.erase(worker.info.id) != 0 && state.unreportedWorkers.empty())
-        releaseUnlocatedTasks(state);
+    noteReported(state, worker.info.id);
 }
 
 void scheduleNextPoll(scheduler_state &state, worker_record &worker)
@@ -197,11 +198,31 @@
                         fmt::format("worker={} runs={}", worker.info.id.value, worker.runs.size()));
     loseRuns(state, worker, "worker_replaced");
     worker.isCurrent = false;
-    if (state.unreportedWorkers.erase(worker.info.id) != 0 && state.unreportedWorkers.empty())
-        releaseUnlocatedTasks(state);
+    noteReported(state, worker.info.id);
     state.schedulePoll(worker, state.now + replacedPollInterval);
 }
 
+void scheduleFailedPoll(scheduler_state &state, worker_record &worker)
+{
+    state.schedulePoll(worker,
+                       state.now + (worker.isListed ? failedPollInterval : 4 * failedPollInterval));
+}
+
+// Nothing listens at the worker's address: its process is gone with all that ran there when the
+// poll was sent. A run whose start was not answered by then may be that of a next process.
+void endProcess(scheduler_state &state, worker_record &worker, const poll_order &order)
+{
+    if (worker.failedPolls++ == 0)
+        state.ports.log("worker_process_ended",
+                        fmt::format("worker={} runs={}", worker.info.id.value, worker.runs.size()));
+    loseRuns(state, worker, "worker_process_ended", [&order](const task_state &task) {
+        return task.isStartAnswered && task.settledPoll < order.number;
+    });
+    worker.isCurrent = false;
+    noteReported(state, worker.info.id);
+    scheduleFailedPoll(state, worker);
+}
+
 // The start was surely not carried out.
 void undoStart(scheduler_state &state, worker_record &worker, const start_order &order,
                task_state &task)
@@ -233,6 +254,8 @@
         return "not_done";
     case order_outcome::other_incarnation:
         return "other_incarnation";
+    case order_outcome::process_ended:
+        return "process_ended";
     case order_outcome::no_answer:
         return "no_answer";
     }
@@ -306,11 +329,7 @@
             && worker.failedPolls >= minFailedPolls) {
             loseRuns(state, worker, "lease_lapsed");
             worker.isCurrent = false;
-            if (hasInherited) {
-                state.unreportedWorkers.erase(id);
-                if (state.unreportedWorkers.empty())
-                    releaseUnlocatedTasks(state);
-            }
+            noteReported(state, id);
             continue;
         }
         for (const auto &[name, run] : worker.runs) {
@@ -350,13 +369,15 @@
     case order_outcome::other_incarnation:
         replaceWorker(state, *worker);
         return;
+    case order_outcome::process_ended:
+        endProcess(state, *worker, order);
+        return;
     default:
         if (worker->failedPolls++ == 0)
             state.ports.log("worker_unresponsive",
                             fmt::format("worker={} outcome={} runs={}", order.worker.value,
                                         toWord(result.outcome), worker->runs.size()));
-        state.schedulePoll(
-            *worker, state.now + (worker->isListed ? failedPollInterval : 4 * failedPollInterval));
+        scheduleFailedPoll(state, *worker);
     }
 }
 
@@ -378,10 +399,13 @@
                               fmt::format("job={} task={} run={} worker={} outcome={}",
                                           order.task.job.value, toString(order.task), order.run,
                                           order.worker.value, toWord(result.outcome)));
+    task->settledPoll = worker->lastPoll;
+    task->isStartAnswered = task->isStartAnswered || result.outcome == order_outcome::done;
+    if (result.outcome == order_outcome::process_ended)
+        state.bringPollForward(*worker, state.now);
     // A stop that overtook the answer decides what becomes of the run.
     if (task->phase != task_phase::starting)
         return;
-    task->settledPoll = worker->lastPoll;
     switch (result.outcome) {
     case order_outcome::done:
         task->phase = task_phase::running;
@@ -411,6 +435,8 @@
     task_state *task = state.findTask(order.task);
     if (result.outcome == order_outcome::refused_fence)
         state.isDeposed = true;
+    if (result.outcome == order_outcome::process_ended && worker != nullptr)
+        state.bringPollForward(*worker, state.now);
     if (worker == nullptr || task == nullptr || task->worker != order.worker
         || task->lastRun != order.run || task->phase != task_phase::stopping)
         return;
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -38,6 +38,7 @@
     double clockRate = 1; ///< Of its steady clock against ours.
     instant bootedAt;
     bool isUp = true;
+    bool isRefusing = false; ///< While it is not up, connections are refused instead of unanswered.
     bool isReplaced = false; ///< Another worker answers at its address.
     bool isListed = true; ///< Service discovery has it.
     std::int64_t highestEpoch = 0;
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -208,10 +208,12 @@
     const instant bootedAt = m_world.workers.at(o.worker).bootedAt;
     const auto arrive = [this, o, carryOut, tell, isLate, isAnswerLost, bootedAt] {
         fake_worker &worker = m_world.workers.at(o.worker);
-        if (!worker.isUp || (cutFrom.count(o.worker) != 0 && !isLate)
+        const bool isRefused = !worker.isUp && worker.isRefusing;
+        if ((!worker.isUp && !isRefused) || (cutFrom.count(o.worker) != 0 && !isLate)
             || (isLate && worker.bootedAt != bootedAt))
             return;
-        const auto result = carryOut(worker);
+        const auto result = isRefused ? order_result{order_outcome::process_ended, std::nullopt}
+                                      : carryOut(worker);
         if (isLate || isAnswerLost)
             return;
         m_world.at(m_world.now + messageDelay, [this, o, tell, result] {
@@ -285,12 +287,18 @@
 {
     constexpr duration lookInterval = 10ms;
     fake_worker &worker = m_world.workers.at(order.worker);
-    if (!worker.isUp || worker.bootedAt != bootedAt || cutFrom.count(order.worker) != 0)
+    const bool isRefused = !worker.isUp && worker.isRefusing;
+    if ((!worker.isUp && !isRefused) || worker.bootedAt != bootedAt
+        || cutFrom.count(order.worker) != 0)
         return;
     poll_result result;
     result.outcome
         = worker.isReplaced ? order_outcome::other_incarnation : order_outcome::refused_fence;
-    if (!worker.isReplaced && order.epoch >= worker.highestEpoch) {
+    if (order.address != worker.info.address) {
+        result.outcome = order_outcome::not_done; // There is no address to send it to.
+    } else if (isRefused) {
+        result.outcome = order_outcome::process_ended;
+    } else if (!worker.isReplaced && order.epoch >= worker.highestEpoch) {
         result.outcome = order_outcome::done;
         result.report = m_world.report(worker, order);
         if (result.report.ended.empty() && m_world.now < waitsUntil) {
@@ -393,6 +401,7 @@
 {
     fake_worker &worker = workers[worker_id{name}];
     worker.info.id.value = name;
+    worker.info.address = "at-" + name;
     worker.info.service.value = "pool";
     worker.info.rack.value = rack;
     worker.info.labels = {"a", rack};
@@ -478,6 +487,7 @@
     worker.runs.clear();
     worker.ended.clear();
     worker.isUp = false;
+    worker.isRefusing = true;
     worker.isListed = false;
     for (const auto &owner : owners) {
         if (!owner->isDead)
