Hold back only the tasks that a leaving worker may have

After a change of the owner, callers saw lasting tasks and waiting jobs held back for 8 s if a worker had left shortly before: departed machines do not answer at all, so nothing proves that their runs are gone, and everything inherited waited for their leases.

A draining worker is given nothing, so what may be there only becomes less. The owner writes that under cw/leaving/ID when the worker begins to drain, with runs whose end is not durable yet; a new owner holds back only these tasks for it. The worker is used again only once the removal of its record is durable, and one with runs that are no task's current one has none.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <sstream>
 
 namespace crocuswind::scheduler {
 
@@ -13,6 +14,8 @@
 
 // The store takes 32 entries in one transaction; two carry the proof of ownership.
 constexpr std::size_t maxBatchEntries = 30;
+// Leaves room for jobs.
+constexpr std::size_t maxLeavingRecords = 12;
 
 // The pause after a batch that held nothing urgent lets ends of several workers share the next.
 constexpr duration commitInterval = 60ms;
@@ -38,6 +41,11 @@
     return state.settings.keyPrefix + "workers";
 }
 
+std::string leavingPrefix(const scheduler_state &state)
+{
+    return state.settings.keyPrefix + "leaving/";
+}
+
 std::string modelKey(const scheduler_state &state)
 {
     return state.settings.keyPrefix + "interference";
@@ -58,6 +66,73 @@
     return text;
 }
 
+// Returns true if it is known which tasks may be on the worker, and no other can come there.
+bool isLimited(const scheduler_state &state, const worker_record &worker)
+{
+    if (state.unreportedWorkers.contains(worker.info.id))
+        return state.unreportedWorkers.tasksOn(worker.info.id) != nullptr;
+    return worker.info.isDraining && !worker.hasStrayRuns;
+}
+
+// The runs that may exist, and those of which an end is not durable yet.
+std::set<task_name> tasksOn(const scheduler_state &state, const worker_record &worker)
+{
+    std::set<task_name> tasks;
+    if (const auto *inherited = state.unreportedWorkers.tasksOn(worker.info.id))
+        tasks = *inherited;
+    for (const auto &[name, run] : worker.runs)
+        tasks.insert(name);
+    for (const auto &[number, name] : worker.ends.unsettled())
+        tasks.insert(name);
+    return tasks;
+}
+
+bool isLeavingRecordDue(const scheduler_state &state)
+{
+    return std::any_of(state.leavingDue.begin(), state.leavingDue.end(),
+                       [&state](const auto &entry) { return entry.second <= state.now; });
+}
+
+// A worker with such a record is given nothing until the record's removal is durable.
+void addLeavingRecord(scheduler_state &state, const worker_id &id, commit_batch &batch)
+{
+    worker_record *worker = state.findWorker(id);
+    const bool isLeaving = worker != nullptr && isLimited(state, *worker);
+    if (worker != nullptr && !isLeaving && !worker->isRecordedLeaving)
+        return;
+    state.committingLeaving[id] = isLeaving;
+    if (!isLeaving) {
+        batch.removedKeys.push_back(leavingPrefix(state) + id.value);
+        return;
+    }
+    worker->isRecordedLeaving = true;
+    std::string text;
+    for (const task_name &task : tasksOn(state, *worker))
+        text += toString(task) + '\n';
+    batch.puts.push_back({leavingPrefix(state) + id.value, std::move(text), 0});
+}
+
+void addLeavingRecords(scheduler_state &state, commit_batch &batch)
+{
+    for (auto i = state.leavingDue.begin();
+         i != state.leavingDue.end() && state.committingLeaving.size() < maxLeavingRecords;) {
+        const bool isDue = i->second <= state.now;
+        if (isDue)
+            addLeavingRecord(state, i->first, batch);
+        i = isDue ? state.leavingDue.erase(i) : std::next(i);
+    }
+}
+
+void finishLeavingRecords(scheduler_state &state)
+{
+    for (const auto &[id, isLeaving] : state.committingLeaving) {
+        if (worker_record *worker = state.findWorker(id))
+            worker->isRecordedLeaving = isLeaving;
+        state.isDispatchWanted = state.isDispatchWanted || !isLeaving;
+    }
+    state.committingLeaving.clear();
+}
+
 void addRecords(const scheduler_state &state, const job_record &job, commit_batch &batch)
 {
     if (job.finishedUnixMs != 0) {
@@ -120,6 +195,7 @@
     if (worker == nullptr || worker->bornUnixMs != end.bornUnixMs)
         return;
     worker->ends.settle(end.number);
+    state.noteRunsChanged(*worker);
     if (!worker->ends.hasUnsettled())
         state.bringPollForward(*worker, state.now);
 }
@@ -186,8 +262,24 @@
         worker.info.id = id;
         worker.info.address = line.substr(std::min(space + 1, line.size()));
         worker.lease.limitLapse(inheritedUntil);
-        state.unreportedWorkers.insert(id);
+        state.unreportedWorkers.add(id);
+    }
+}
+
+void readLeaving(scheduler_state &state, const worker_id &id, const std::string &text)
+{
+    state.scheduleLeavingRecord(id, state.now);
+    if (worker_record *worker = state.findWorker(id))
+        worker->isRecordedLeaving = true;
+    std::set<task_name> tasks;
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        const auto task = parseTaskName(line);
+        if (!task)
+            return;
+        tasks.insert(*task);
     }
+    state.unreportedWorkers.limit(id, std::move(tasks));
 }
 
 // Finished jobs stay known for a while; the others go on.
@@ -213,6 +305,11 @@
 
 } // namespace
 
+bool isLeavingRecordOpen(const scheduler_state &state, const worker_id &id)
+{
+    return state.leavingDue.count(id) != 0 || state.committingLeaving.count(id) != 0;
+}
+
 job_waiters &markDirty(scheduler_state &state, const job_record &job)
 {
     const auto [found, isNew] = state.waiters.try_emplace(job.spec.name);
@@ -225,11 +322,12 @@
 {
     if (state.isCommitting || !state.isOwner || state.now < state.nextCommitAt)
         return;
-    if (state.dirtyJobs.empty() && !state.isWorkerListDirty)
+    if (state.dirtyJobs.empty() && !state.isWorkerListDirty && !isLeavingRecordDue(state))
         return;
     commit_batch batch;
     if (state.isWorkerListDirty)
         addWorkerList(state, batch);
+    addLeavingRecords(state, batch);
     addModel(state, batch);
     while (!state.dirtyJobs.empty()
            && batch.puts.size() + batch.removedKeys.size() + 2 <= maxBatchEntries) {
@@ -264,6 +362,7 @@
         state.isDispatchWanted = true;
     }
     state.committingWorkers.clear();
+    finishLeavingRecords(state);
 }
 
 void takeBackCommit(scheduler_state &state)
@@ -281,6 +380,9 @@
     }
     state.isWorkerListDirty = state.isWorkerListDirty || !state.committingWorkers.empty();
     state.committingWorkers.clear();
+    for (const auto &[id, isLeaving] : state.committingLeaving)
+        state.scheduleLeavingRecord(id, state.now);
+    state.committingLeaving.clear();
     state.storedModel.clear();
     state.nextCommitAt = state.now + refusedCommitPause;
     if (!state.isStoreAvailable)
@@ -319,6 +421,8 @@
     for (const stored_record &record : records) {
         if (startsWith(record.key, progressPrefix))
             readProgress(state, record, {record.key.substr(progressPrefix.size())});
+        else if (startsWith(record.key, leavingPrefix(state)))
+            readLeaving(state, {record.key.substr(leavingPrefix(state).size())}, record.value);
     }
     for (auto &[name, job] : state.jobs)
         resumeJob(state, *job, unixNowMs);
--- a/packages/scheduler/commit_log.h
+++ b/packages/scheduler/commit_log.h
@@ -6,6 +6,10 @@
 
 namespace crocuswind::scheduler {
 
+/// Returns true if a record of what may be on the worker is still to be written or removed, so that
+/// a former one may be durable.
+bool isLeavingRecordOpen(const scheduler_state &state, const worker_id &id);
+
 /// Notes that the record of \p job has changed, and returns what waits for it to become durable.
 job_waiters &markDirty(scheduler_state &state, const job_record &job);
 
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -18,8 +18,28 @@
 /// Workers that have left and run nothing are forgotten this often.
 constexpr duration pruneInterval = 100ms;
 
+/// Tasks end on a leaving worker many times a second; each of them is not worth a record.
+constexpr duration leavingRecordInterval = 1s;
+
 } // namespace
 
+void scheduler_state::noteRunsChanged(const worker_record &worker)
+{
+    if (!worker.info.isDraining && !worker.isRecordedLeaving)
+        return;
+    // A record that names too many tasks is safe for a while. One of a worker that may have others
+    // is not, and a worker that runs nothing should hold nothing back.
+    const bool isEmpty = worker.runs.empty() && !worker.ends.hasUnsettled();
+    const bool isUrgent = isEmpty || worker.hasStrayRuns || !worker.info.isDraining;
+    scheduleLeavingRecord(worker.info.id, isUrgent ? now : now + leavingRecordInterval);
+}
+
+void scheduler_state::scheduleLeavingRecord(const worker_id &id, instant when)
+{
+    const auto [found, isNew] = leavingDue.try_emplace(id, when);
+    found->second = std::min(found->second, when);
+}
+
 void scheduler_state::schedulePoll(worker_record &worker, instant when)
 {
     worker.nextPollAt = when;
@@ -96,7 +116,9 @@
         state.expiring.clear();
         state.unreportedWorkers.clear();
         state.isWorkerListDirty = false;
+        state.leavingDue.clear();
         state.committingWorkers.clear();
+        state.committingLeaving.clear();
         for (auto i = state.workers.begin(); i != state.workers.end();) {
             worker_record fresh;
             fresh.info = i->second.info;
@@ -116,9 +138,12 @@
         for (auto i = state.workers.begin(); i != state.workers.end();) {
             const worker_record &worker = i->second;
             const bool isGone = !worker.isListed && worker.runs.empty() && !worker.isPolled
-                && state.unreportedWorkers.count(i->first) == 0;
-            if (isGone)
+                && !state.unreportedWorkers.contains(i->first);
+            if (isGone) {
                 state.isWorkerListDirty = state.isOwner;
+                if (worker.isRecordedLeaving)
+                    state.scheduleLeavingRecord(i->first, state.now);
+            }
             i = isGone ? state.workers.erase(i) : std::next(i);
         }
     }
@@ -147,14 +172,16 @@
     state.tookOverAt = now;
     state.nextCommitAt = now;
     loadRecords(state, records, unixNowMs, inheritedUntil);
-    for (auto &[id, worker] : state.workers)
+    for (auto &[id, worker] : state.workers) {
         state.schedulePoll(worker, now);
+        state.noteRunsChanged(worker);
+    }
     state.isWorkerListDirty = true;
     state.ports.log("take_over",
                     fmt::format("epoch={} jobs={} workers={} former_workers={}", epoch,
                                 state.jobs.size(), state.workers.size(),
                                 state.unreportedWorkers.size()));
-    if (state.unreportedWorkers.empty())
+    if (!state.unreportedWorkers.mayHaveAny())
         releaseUnlocatedTasks(state);
     i.proceed();
 }
@@ -223,6 +250,8 @@
         i.state.isWorkerListDirty = true;
         worker.isRecorded = false;
     }
+    if (isNew)
+        worker.isRecordedLeaving = isLeavingRecordOpen(i.state, info.id);
     const bool isOtherIncarnation
         = info.bornUnixMs != 0 && worker.bornUnixMs != 0 && info.bornUnixMs > worker.bornUnixMs;
     if (isOtherIncarnation)
@@ -232,8 +261,11 @@
     if (info.isDraining && !worker.info.isDraining)
         i.state.ports.log("worker_draining",
                           fmt::format("worker={} runs={}", info.id.value, worker.runs.size()));
+    const bool isDrainingChanged = worker.info.isDraining != info.isDraining;
     worker.isListed = true;
     worker.info = info;
+    if (isDrainingChanged)
+        i.state.scheduleLeavingRecord(info.id, now);
     if (info.isDraining && i.state.isOwner)
         evacuateWorker(i.state, worker);
     if (!worker.isCurrent)
@@ -345,6 +377,10 @@
     instant next = nextWorkerWake(state);
     if (!state.isCommitting && (!state.dirtyJobs.empty() || state.isWorkerListDirty))
         next = std::min(next, state.nextCommitAt);
+    if (!state.isCommitting) {
+        for (const auto &[id, due] : state.leavingDue)
+            next = std::min(next, std::max(due, state.nextCommitAt));
+    }
     if (state.isDispatchWanted)
         next = std::min(next, state.nextDispatchAt);
     if (!state.dueOccurrences.empty())
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -4,6 +4,7 @@
 
 #include "interference_model.h"
 #include "scheduler_core.h"
+#include "unreported_workers.h"
 
 #include <deque>
 #include <map>
@@ -68,9 +69,7 @@
     std::unordered_map<job_name, std::unique_ptr<job_record>> jobs;
     std::int64_t lastJobNumber = 0;
     std::map<worker_id, worker_record> workers;
-    /// Workers that an earlier owner may have used and that have not reported yet. While there are
-    /// any, tasks that were not found elsewhere may be running there.
-    std::set<worker_id> unreportedWorkers;
+    unreported_workers unreportedWorkers;
 
     instant nextPollScanAt; ///< No worker is due for a poll before.
     instant nextReviewAt; ///< Of stops without an answer and leases.
@@ -82,10 +81,14 @@
     std::vector<std::pair<job_name, job_waiters>> committing; ///< In the batch under way.
     bool isCommitting = false;
     bool isWorkerListDirty = false;
+    /// Workers whose record of what may be there is to be written or removed, and when.
+    std::map<worker_id, instant> leavingDue;
     instant nextModelAt; ///< When the interference model may be written next.
     std::string storedModel; ///< As written last.
     /// In the list of the batch under way, with their addresses.
     std::vector<std::pair<worker_id, std::string>> committingWorkers;
+    /// Leaving workers of which the batch under way writes the record (true) or removes it.
+    std::map<worker_id, bool> committingLeaving;
     instant nextCommitAt;
     std::deque<std::pair<instant, job_name>> expiring; ///< When ended jobs are forgotten.
 
@@ -100,6 +103,11 @@
 
     scheduler_counters counters;
 
+    /// What may be on the worker has changed. Matters for leaving workers only.
+    void noteRunsChanged(const worker_record &worker);
+    /// Has the record of a leaving worker written, or removed if it is none, at \p when.
+    void scheduleLeavingRecord(const worker_id &id, instant when);
+
     /// Sets when the worker is polled next.
     void schedulePoll(worker_record &worker, instant when);
     /// Has the worker polled at \p when at the latest.
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -203,6 +203,7 @@
         // run.
         other.hasStrayRuns = true;
         other.strayPoll = other.lastPoll;
+        state.noteRunsChanged(other);
     }
     task.countedRun = std::max(task.countedRun, end.run);
     task.phase = task_phase::done;
@@ -340,8 +341,12 @@
                 continue;
             for (int step = 0; step < int(occurrence.steps.size()); ++step) {
                 bool hasWaiting = false;
-                for (task_state &task : occurrence.steps[std::size_t(step)]) {
-                    if (task.phase != task_phase::unlocated)
+                auto &tasks = occurrence.steps[std::size_t(step)];
+                for (int index = 0; index < int(tasks.size()); ++index) {
+                    task_state &task = tasks[std::size_t(index)];
+                    const bool isHeld = task.phase != task_phase::unlocated
+                        || state.unreportedWorkers.mayHave({name, number, step, index});
+                    if (isHeld)
                         continue;
                     const bool canBegin = canStepBegin(*job, occurrence, step);
                     ++released;
@@ -353,17 +358,23 @@
             }
         }
     }
+    if (released == 0 && state.unreportedWorkers.size() != 0)
+        return;
+    const auto since
+        = std::chrono::duration_cast<std::chrono::milliseconds>(state.now - state.tookOverAt);
     state.ports.log("unlocated_released",
-                    fmt::format("epoch={} tasks={} since_take_over_ms={}", state.epoch, released,
-                                std::chrono::duration_cast<std::chrono::milliseconds>(
-                                    state.now - state.tookOverAt)
-                                    .count()));
+                    fmt::format("epoch={} tasks={} since_take_over_ms={} workers_unreported={}",
+                                state.epoch, released, since.count(),
+                                state.unreportedWorkers.size()));
     state.isDispatchWanted = true;
 }
 
 void noteReported(scheduler_state &state, const worker_id &worker)
 {
-    if (state.unreportedWorkers.erase(worker) != 0 && state.unreportedWorkers.empty())
+    if (!state.unreportedWorkers.erase(worker))
+        return;
+    state.noteRunsChanged(*state.findWorker(worker));
+    if (!state.unreportedWorkers.mayHaveAny())
         releaseUnlocatedTasks(state);
 }
 
@@ -380,6 +391,7 @@
     worker.runs[name] = run;
     addLoad(worker, step, 1);
     updateBudgets(state, worker);
+    state.noteRunsChanged(worker);
 }
 
 void unbindRun(scheduler_state &state, const task_name &name, task_state &task)
@@ -389,6 +401,7 @@
     addLoad(worker, step, -1);
     updateBudgets(state, worker);
     worker.runs.erase(name);
+    state.noteRunsChanged(worker);
     task.worker = worker_id();
     state.isDispatchWanted = true;
 }
@@ -400,9 +413,8 @@
         task.phase = task_phase::dropped;
         return;
     }
-    // A later run that an earlier owner started may be on a worker that is that has not reported
-    // yet.
-    if (job.isRecovered && !state.unreportedWorkers.empty()) {
+    // A later run that an earlier owner started may be on a worker that has not reported yet.
+    if (job.isRecovered && state.unreportedWorkers.mayHave(name)) {
         task.phase = task_phase::unlocated;
         return;
     }
@@ -413,7 +425,7 @@
 
 void handleEnd(scheduler_state &state, worker_record &worker, const ended_report &end)
 {
-    if (!worker.ends.accept(end.number))
+    if (!worker.ends.accept(end.number, end.task))
         return;
     task_state *task = state.findTask(end.task);
     const bool counts = task != nullptr && isCounted(worker, *task, end);
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -54,9 +54,10 @@
 
 bool isOpen(const scheduler_state &state, const worker_record &worker)
 {
-    return worker.isListed && worker.isRecorded && worker.isCurrent && !worker.info.isDraining
-        && worker.failedPolls == 0 && !worker.hasStrayRuns && worker.avoidedUntil <= state.now
-        && worker.lease.isClockKnown() && !mayHaveForgottenEpoch(state, worker);
+    return worker.isListed && worker.isRecorded && !worker.isRecordedLeaving && worker.isCurrent
+        && !worker.info.isDraining && worker.failedPolls == 0 && !worker.hasStrayRuns
+        && worker.avoidedUntil <= state.now && worker.lease.isClockKnown()
+        && !mayHaveForgottenEpoch(state, worker);
 }
 
 bool isAllowed(const worker_request &request, const worker_record &worker)
--- a/packages/scheduler/worker_record.cpp
+++ b/packages/scheduler/worker_record.cpp
@@ -56,18 +56,18 @@
     return double(clockMs + clockBackToleranceMs) < double(m_reading->clockMs) + passed;
 }
 
-bool end_cursor::accept(std::int64_t number)
+bool end_cursor::accept(std::int64_t number, const task_name &task)
 {
     if (number <= m_highest)
         return false;
     m_highest = number;
-    m_unsettled.insert(number);
+    m_unsettled.emplace(number, task);
     return true;
 }
 
 std::int64_t end_cursor::settledUpTo() const
 {
-    return m_unsettled.empty() ? m_highest : *m_unsettled.begin() - 1;
+    return m_unsettled.empty() ? m_highest : m_unsettled.begin()->first - 1;
 }
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -125,7 +125,7 @@
 {
 public:
     /// Returns true if the end is new; it then counts as not durable yet.
-    bool accept(std::int64_t number);
+    bool accept(std::int64_t number, const task_name &task = task_name());
 
     /// Notes that an end needs no further care.
     void settle(std::int64_t number) { m_unsettled.erase(number); }
@@ -136,12 +136,15 @@
     /// Returns true if ends wait to become durable.
     bool hasUnsettled() const { return !m_unsettled.empty(); }
 
+    /// Returns the ends that are not durable yet, by number, with their tasks.
+    const std::map<std::int64_t, task_name> &unsettled() const { return m_unsettled; }
+
     /// Returns the highest number seen.
     std::int64_t highest() const { return m_highest; }
 
 private:
     std::int64_t m_highest = 0;
-    std::set<std::int64_t> m_unsettled;
+    std::map<std::int64_t, task_name> m_unsettled;
 };
 
 /// The runs of one image in a worker's idle room.
@@ -179,6 +182,8 @@
     worker_info info;
     bool isListed = false; ///< Service discovery has it.
     bool isRecorded = false; ///< A later owner would find it in the stored list of workers.
+    /// A later owner may find it in the stored list of leaving workers: it must be given nothing.
+    bool isRecordedLeaving = false;
     bool isCurrent
         = false; ///< It has reported what it runs, since the ownership or its incarnation began.
     instant currentSince; ///< First report of this incarnation to us.
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace crocuswind::scheduler {
 
@@ -161,9 +162,11 @@
         worker.ackedEnds = std::max(worker.ackedEnds, order.ackedEnds);
     for (const ended_report &end : report.ended)
         handleEnd(state, worker, end);
-    worker.hasStrayRuns = order.number <= worker.strayPoll;
+    const bool hadStrayRuns = std::exchange(worker.hasStrayRuns, order.number <= worker.strayPoll);
     for (const running_report &row : report.running)
         handleRunning(state, worker, row);
+    if (worker.hasStrayRuns != hadStrayRuns)
+        state.noteRunsChanged(worker);
     std::set<task_name> shown;
     for (const running_report &row : report.running)
         shown.insert(row.task);
@@ -318,7 +321,7 @@
         return;
     state.nextReviewAt = state.now + reviewInterval;
     for (auto &[id, worker] : state.workers) {
-        const bool hasInherited = state.unreportedWorkers.count(id) != 0;
+        const bool hasInherited = state.unreportedWorkers.contains(id);
         if (worker.runs.empty() && !hasInherited)
             continue;
         // A later owner may have found these runs and renewed the lease, so they are given up only
--- a/test/failure/scheduler_departed_worker_test.cpp
+++ b/test/failure/scheduler_departed_worker_test.cpp
@@ -131,3 +131,76 @@
     EXPECT_EQ(runsOf(spec), 8U);
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
+
+// A departed machine need not refuse connections: it may be off. What a draining worker may have is
+// on record, so that only this waits for it.
+TEST_F(departed_worker, ASilentWorkerThatHadDrainedHoldsNothingBack)
+{
+    world.runTime = [](const task_name &) { return 1000s; };
+    const job_spec spec = submit(first, "a", 8, true);
+    world.run(500ms);
+    fake_worker &leaving = usedWorker();
+    leaving.info.isDraining = true;
+    first.core.onWorker(world.now, leaving.info);
+    first.wake();
+    world.run(2s);
+    ASSERT_TRUE(leaving.runs.empty());
+    first.isDead = true;
+    world.leave(leaving);
+    leaving.isRefusing = false;
+    // These end with the crash of another worker, which is back before the takeover.
+    fake_worker &crashed = usedWorker();
+    crashed.isUp = false;
+    world.run(2s);
+    world.restartWorker(crashed);
+    world.run(takeoverTime - 2s);
+    world.takeOver(second);
+    world.run(lastingLimit - takeoverTime);
+    EXPECT_EQ(runsOf(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+TEST_F(departed_worker, ADrainingWorkerThatIsCutOffHoldsWhatItRuns)
+{
+    world.runTime = [](const task_name &) { return 4s; };
+    const job_spec spec = submit(first, "a", 16, false);
+    world.run(500ms);
+    fake_worker &draining = usedWorker();
+    draining.info.isDraining = true;
+    first.core.onWorker(world.now, draining.info);
+    first.wake();
+    world.run(500ms);
+    first.isDead = true;
+    second.cutFrom = {draining.info.id};
+    world.run(1s);
+    world.takeOver(second);
+    world.run(4s);
+    second.cutFrom.clear();
+    world.run(3s);
+    for (const auto &[task, starts] : world.starts)
+        EXPECT_EQ(starts, 1) << toString(task);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+TEST_F(departed_worker, AWorkerBackFromDrainingHoldsWhatItWasGivenSince)
+{
+    world.runTime = [](const task_name &) { return 5s; };
+    fake_worker &worker = world.workers.at({"w0"});
+    for (const bool isDraining : {true, false}) {
+        worker.info.isDraining = isDraining;
+        first.core.onWorker(world.now, worker.info);
+        first.wake();
+        world.run(500ms);
+    }
+    const job_spec spec = submit(first, "a", 16, false);
+    world.run(500ms);
+    ASSERT_EQ(worker.runs.size(), 4U);
+    first.isDead = true;
+    second.cutFrom = {worker.info.id};
+    world.run(1s);
+    world.takeOver(second);
+    world.run(3s);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+    for (const auto &[task, starts] : world.starts)
+        EXPECT_EQ(starts, 1) << toString(task);
+}
--- a/test/failure/scheduler_faults_test.cpp
+++ b/test/failure/scheduler_faults_test.cpp
@@ -198,6 +198,26 @@
 
 /// From this seed on, the store also refuses commits.
 constexpr std::uint64_t refusingSeeds = 100000;
+/// From this seed on, workers also drain, and connections to some that are down are refused.
+constexpr std::uint64_t drainingSeeds = 200000;
+
+// Lets workers drain and return to service, and some of those that go down refuse connections.
+void drainWorkers(scheduler_world &world, seeded_random &random, fake_owner &owner)
+{
+    fake_worker &worker = std::next(world.workers.begin(), long(random.below(8)))->second;
+    worker.isRefusing = random.below(2) == 0;
+    const auto draining
+        = std::count_if(world.workers.begin(), world.workers.end(),
+                        [](const auto &entry) { return entry.second.info.isDraining; });
+    worker.info.isDraining = !worker.info.isDraining && draining < 4;
+    owner.core.onWorker(world.now, worker.info);
+    owner.wake();
+    fake_worker &leaving = std::next(world.workers.begin(), long(random.below(8)))->second;
+    if (leaving.info.isDraining && leaving.isUp && random.below(3) == 0) {
+        leaving.isUp = false;
+        world.at(world.now + 3s, [&world, &leaving] { world.restartWorker(leaving); });
+    }
+}
 
 // One storm of faults after the other over two owners, by seed. Every job must end, and no
 // guarantee may be broken on the way.
@@ -208,6 +228,7 @@
 {
     scheduler_world world(GetParam());
     seeded_random random(GetParam() * 977 + 5);
+    seeded_random drains(GetParam() * 7919 + 3);
     for (int i = 0; i < 8; ++i) {
         fake_worker &w = world.addWorker(fmt::format("w{}", i), fmt::format("rack-{}", i / 4),
                                          {6000, 8000, 0});
@@ -235,6 +256,8 @@
         world.lateRate = random.below(4) == 0 ? 0.1 : 0;
         world.lostAnswerRate = random.below(4) == 0 ? 0.1 : 0;
         world.isStoreDown = random.below(8) == 0;
+        if (GetParam() >= drainingSeeds)
+            drainWorkers(world, drains, owner);
         if (GetParam() >= refusingSeeds) {
             world.isStoreRefusing = random.below(8) == 0;
             owner.core.setStoreAvailable(world.now, !world.isStoreRefusing);
@@ -272,6 +295,10 @@
         if (reply != owner.replies.end() && reply->second.outcome == job_outcome::accepted)
             accepted.push_back(spec.name);
     }
+    for (auto &[id, worker] : world.workers) {
+        worker.info.isDraining = false;
+        hosts[active]->core.onWorker(world.now, worker.info);
+    }
     world.lateRate = 0;
     world.lostAnswerRate = 0;
     world.isStoreDown = false;
@@ -290,6 +317,8 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, fault_storm, testing::Range<std::uint64_t>(1, 41));
 INSTANTIATE_TEST_SUITE_P(RefusingStore, fault_storm,
                          testing::Range(refusingSeeds, refusingSeeds + 20));
+INSTANTIATE_TEST_SUITE_P(DrainingWorkers, fault_storm,
+                         testing::Range(drainingSeeds, drainingSeeds + 40));
 
 // Seeds that broke a guarantee once. 1784: the answer to a start told that the worker had
 // restarted; its outcome was dropped, and the task counted as starting for ever. 2342: a former
