Refuse bodies that nest deeply before they are parsed

Operators of similar systems saw hosts end again and again after another writer had left a deeply nested entry among those of the workers. Here no code recursed for it: parsing and destruction of the JSON library keep their own stack, and no nested value is copied. But each level of a parsed list takes some seventy bytes.

The growth is below the test's bound of 16,384 KB.

--- /dev/null
+++ b/test/error/platform_odd_entries_test.cpp
@@ -0,0 +1,110 @@
+// Guards against an odd entry of another writer, or an odd number in any body, that ends the
+// process, takes its memory or hides the entries beside it.
+
+#include "platform/wire_bodies.h"
+#include "protocol/protocol.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <sys/resource.h>
+
+using namespace crocuswind;
+using namespace crocuswind::platform;
+using namespace crocuswind::scheduler;
+using nlohmann::json;
+
+namespace {
+
+/// As many levels as a value of the store has bytes; a parser that recurses runs out of stack.
+constexpr std::size_t deepest = 1'000'000;
+
+/// A tenth of the smallest host's memory.
+constexpr long maxGrowthKb = 16 * 1024;
+
+const std::vector<const char *> beyondTheType = {"1e400",
+                                                 "1e300",
+                                                 "-1e300",
+                                                 "9223372036854775808",
+                                                 "18446744073709551615",
+                                                 "-9223372036854775809",
+                                                 "99999999999999999999999999"};
+
+/// The last one fits into 64 bits; sums of a few do not.
+const std::vector<const char *> tooLarge = [] {
+    std::vector<const char *> numbers = beyondTheType;
+    numbers.push_back("4611686018427387904");
+    return numbers;
+}();
+
+std::string repeat(const std::string &text, std::size_t times)
+{
+    std::string all;
+    for (std::size_t i = 0; i < times; ++i)
+        all += text;
+    return all;
+}
+
+json goodEntry()
+{
+    return {{"service", "pool"},    {"address", "10.0.0.9:8080"},
+            {"zone", "a"},          {"version", "v1"},
+            {"slots", 8},           {"state", "ready"},
+            {"coldLeftMs", 0},      {"capacity", {{"cpu", 16000}, {"memMb", 32768}, {"gpu", 1}}},
+            {"labels", {"a", "r"}}, {"clockMs", 482113},
+            {"born", 17},           {"seq", 4}};
+}
+
+// Writes the entry with the text in place of a field's value; `a/b` names a field of a field.
+std::string entryWith(const std::string &field, const std::string &text)
+{
+    json entry = goodEntry();
+    entry[json::json_pointer("/" + field)] = "PLACE";
+    std::string body = entry.dump();
+    return body.replace(body.find("\"PLACE\""), 7, text);
+}
+
+long peakMemoryKb()
+{
+    rusage usage = {};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+}
+
+bool isRefused(const std::string &body)
+{
+    const auto spec = parseJobBody(body, {"0123456789abcdef"}, {"queue"});
+    return !spec && !spec.error().empty();
+}
+
+} // namespace
+
+// Must come first: the peak of the process's memory never falls.
+TEST(OddBody, DeepNestingIsRefusedWithoutMemory)
+{
+    const std::string deepBodies[]
+        = {repeat("[", deepest), repeat("{\"a\":", deepest / 5),
+           entryWith("more", repeat("[", deepest / 2) + repeat("]", deepest / 2))};
+    const long before = peakMemoryKb();
+    for (const std::string &body : deepBodies) {
+        EXPECT_FALSE(parseListedWorker("i-1", body).has_value());
+        EXPECT_FALSE(parseConfiguration(body).has_value());
+        EXPECT_TRUE(isRefused(body));
+        EXPECT_EQ(parsePollAnswer(200, body).outcome, order_outcome::no_answer);
+        EXPECT_FALSE(parseOrderAnswer(200, body).clockMs.has_value());
+        EXPECT_FALSE(parseRangePage(body).has_value());
+        EXPECT_FALSE(parseWatchPage(body).has_value());
+        EXPECT_FALSE(parseItem(body).has_value());
+        EXPECT_FALSE(parseLeaseAnswer(body).has_value());
+    }
+    EXPECT_LT(peakMemoryKb() - before, maxGrowthKb);
+}
+
+TEST(OddBody, BracketsInTextAreNoNesting)
+{
+    const std::string payload = repeat("[{\\\"\\\\", 200);
+    const auto spec = parseJobBody(R"({"spec":")" + payload + R"(","steps":[{"count":1,"cpu":1}]})",
+                                   {"0123456789abcdef"}, {"queue"});
+    ASSERT_TRUE(spec.has_value());
+    EXPECT_EQ(spec->payload, repeat("[{\"\\", 200));
+}
