--- a/test/error/platform_odd_entries_test.cpp
+++ b/test/error/platform_odd_entries_test.cpp
@@ -108,3 +108,87 @@
     ASSERT_TRUE(spec.has_value());
     EXPECT_EQ(spec->payload, repeat("[{\"\\", 200));
 }
+
+TEST(OddEntry, NumbersOutOfRangeNameNoWorker)
+{
+    ASSERT_TRUE(parseListedWorker("i-1", goodEntry().dump()).has_value());
+    for (const char *field : {"capacity/cpu", "capacity/memMb", "capacity/gpu", "born"}) {
+        for (const char *number : tooLarge)
+            EXPECT_FALSE(parseListedWorker("i-1", entryWith(field, number)).has_value())
+                << field << " " << number;
+        EXPECT_FALSE(parseListedWorker("i-1", entryWith(field, "-1")).has_value()) << field;
+    }
+}
+
+TEST(OddEntry, FieldsOfAnotherTypeNameNoWorker)
+{
+    for (const char *field : {"service", "address", "zone", "state", "capacity", "capacity/cpu",
+                              "capacity/memMb", "capacity/gpu", "labels", "born"}) {
+        for (const char *value : {"null", "true", "[7]", "{}", "\"\"", "1.5"})
+            EXPECT_FALSE(parseListedWorker("i-1", entryWith(field, value)).has_value())
+                << field << " " << value;
+    }
+    EXPECT_FALSE(parseListedWorker("i-1", entryWith("born", "\"x\"")).has_value());
+    for (const char *field : {"service", "address", "zone", "state", "capacity", "labels"}) {
+        json entry = goodEntry();
+        entry.erase(field);
+        EXPECT_FALSE(parseListedWorker("i-1", entry.dump()).has_value()) << field;
+    }
+}
+
+TEST(OddEntry, PortsOutOfRangeNameNoWorker)
+{
+    for (const char *port : {"0", "65536", "99999999999", "-1", "+80", "80x", " 80", "", "0x50"}) {
+        const std::string address = fmt::format("\"10.0.0.9:{}\"", port);
+        EXPECT_FALSE(parseListedWorker("i-1", entryWith("address", address)).has_value()) << port;
+    }
+    EXPECT_TRUE(parseListedWorker("i-1", entryWith("address", "\"10.0.0.9:65535\"")).has_value());
+}
+
+// An identifier goes into a header of each order and into the list of workers, one a line.
+TEST(OddEntry, KeysThatAreNoIdentifierNameNoWorker)
+{
+    for (const std::string &id :
+         {std::string(), std::string("a/b"), std::string("a\nb"), std::string("a\r\nX: y"),
+          std::string("a b"), std::string("a\0b", 3), std::string("\xff"), std::string(300, 'a')})
+        EXPECT_FALSE(parseListedWorker(id, goodEntry().dump()).has_value()) << id;
+}
+
+TEST(OddEntry, LongTextsAndManyLabelsNameNoWorker)
+{
+    const std::string longText = "\"" + std::string(100'000, 'x') + "\"";
+    EXPECT_FALSE(parseListedWorker("i-1", entryWith("service", longText)).has_value());
+    EXPECT_FALSE(parseListedWorker("i-1", entryWith("zone", longText)).has_value());
+    EXPECT_FALSE(parseListedWorker("i-1", entryWith("labels", "[" + longText + "]")).has_value());
+    const std::string manyLabels = "[\"x\"" + repeat(",\"x\"", 100'000) + "]";
+    EXPECT_FALSE(parseListedWorker("i-1", entryWith("labels", manyLabels)).has_value());
+}
+
+TEST(OddReport, NumbersOutOfRangeAreNotTakenForOthers)
+{
+    for (const char *number : tooLarge) {
+        const std::string n = number;
+        EXPECT_EQ(parsePollAnswer(200, R"({"clockMs":)" + n + "}").outcome,
+                  order_outcome::no_answer)
+            << n;
+        EXPECT_FALSE(parseOrderAnswer(200, R"({"clockMs":)" + n + "}").clockMs.has_value()) << n;
+        const poll_result result = parsePollAnswer(
+            200,
+            R"({"clockMs":5,"born":)" + n + R"(,"running":[["a.0.0.1",)" + n + R"(]],"ended":[[)"
+                + n + R"(,"a.0.0.1",1,"done"],[4,"a.0.0.1",)" + n + R"(,"done"]]})");
+        EXPECT_EQ(result.report.bornUnixMs, 0) << n;
+        EXPECT_TRUE(result.report.running.empty()) << n;
+        for (const ended_report &end : result.report.ended) {
+            EXPECT_EQ(end.number, 4) << n;
+            EXPECT_TRUE(end.task.job.empty()) << n;
+        }
+    }
+    const poll_result result
+        = parsePollAnswer(200, R"({"clockMs":5,"running":[["a.0.0.1",4294967297]]})");
+    EXPECT_TRUE(result.report.running.empty());
+    const poll_result odd = parsePollAnswer(
+        200, R"({"clockMs":5,"running":[["a.0.0.1",1,"",1e300,-1e300],["a.0.0.2",2,"",7,8]]})");
+    ASSERT_EQ(odd.report.running.size(), 2u);
+    EXPECT_EQ(odd.report.running[0].progressPercent, 0);
+    EXPECT_EQ(odd.report.running[0].figure, 0);
+}
--- a/test/failure/platform_path_test.cpp
+++ b/test/failure/platform_path_test.cpp
@@ -141,6 +141,35 @@
         return eventually([&] { return state(h, job) == "completed"; });
     }
 
+    // Another writer leaves entries that name no worker, under keys that begin with the prefix.
+    void putOddEntries(const std::string &prefix)
+    {
+        const json good = workers[0]->entry();
+        const auto with = [&](const char *field, const json &value) {
+            json entry = good;
+            entry[json::json_pointer(field)] = value;
+            return entry.dump();
+        };
+        std::string tooLarge = with("/capacity/cpu", "PLACE");
+        tooLarge.replace(tooLarge.find("\"PLACE\""), 7, "1e400");
+        const std::string bodies[] = {"",
+                                      "\xff\xfe",
+                                      std::string(500000, '['),
+                                      tooLarge,
+                                      with("/capacity/cpu", 1e300),
+                                      with("/capacity/memMb", -1),
+                                      with("/address", "127.0.0.1:65536"),
+                                      with("/address", "127.0.0.1:0"),
+                                      with("/born", 1e300),
+                                      with("/state", "odd"),
+                                      with("/labels", 7)};
+        int number = 0;
+        for (const std::string &body : bodies)
+            store.putBytes(fmt::format("{}{}", prefix, number++), body);
+        store.putBytes(prefix + "\r\nX: y", good.dump());
+        store.putBytes(prefix + "/", good.dump());
+    }
+
     int startsOf(const std::string &job) const
     {
         int sum = 0;
@@ -208,6 +237,29 @@
     EXPECT_EQ(startsOf(jobA), 6);
 }
 
+// An odd entry ended the process that read it, or had it follow the list no more.
+TEST_F(platform_path, OddEntriesLeaveTheWorkersBesideThemInUse)
+{
+    putOddEntries("servers/a-");
+    startHost();
+    ASSERT_TRUE(becomesReady(hosts[0]));
+    ASSERT_EQ(submit(hosts[0], jobA), 200);
+    putOddEntries("servers/z-");
+    // Among them under the identifiers of two workers, which write theirs anew later.
+    store.putBytes("servers/i-0", std::string(500000, '['));
+    json future = workers[1]->entry();
+    future["born"] = 99'000'000'000'000;
+    store.put("servers/i-1", future);
+    EXPECT_TRUE(completes(hosts[0], jobA));
+    store.put("servers/i-0", workers[0]->entry());
+    store.put("servers/i-1", workers[1]->entry());
+    EXPECT_EQ(submit(hosts[0], jobB), 200);
+    EXPECT_TRUE(completes(hosts[0], jobB));
+    EXPECT_EQ(startsOf(jobA), 6);
+    EXPECT_EQ(startsOf(jobB), 6);
+    EXPECT_FALSE(hosts[0].process->hasEnded());
+}
+
 TEST_F(platform_path, WithoutTheStoreJobsAreRefusedAndLaterAccepted)
 {
     startHost();
--- a/test/standin/platform_site.cpp
+++ b/test/standin/platform_site.cpp
@@ -71,9 +71,14 @@
 }
 
 void platform_store::put(const std::string &key, const json &value)
+{
+    putBytes(key, value.dump());
+}
+
+void platform_store::putBytes(const std::string &key, const std::string &bytes)
 {
     ++m_revision;
-    m_items[key] = {value.dump(), m_revision, 0};
+    m_items[key] = {bytes, m_revision, 0};
     note(key, false);
     answerWatches();
 }
--- a/test/standin/platform_site.h
+++ b/test/standin/platform_site.h
@@ -28,6 +28,9 @@
     /// Writes a key as the operator or a worker does.
     void put(const std::string &key, const nlohmann::json &value);
 
+    /// Writes a key as a writer does that does not keep to the platform's bodies.
+    void putBytes(const std::string &key, const std::string &bytes);
+
     /// Returns the keys with a prefix.
     std::vector<std::string> keys(const std::string &prefix) const;
 
