Refuse jobs whose numbers are out of range

A count of 2^32 + 1 was accepted as a count of one, an earlier step of 2^32 as step 0, and a size of another type as none. Sizes and times up to 2^63 were accepted, and overflowed in sums over tasks and in times by the microsecond.

Callers now get a refusal that names the field. Sizes are bounded by a million cores or a petabyte a task, spans by three years and due times by the year 5138, far from where sums overflow.

platform_odd_entries_test, suites OddJob and OddConfiguration, failed first.

--- a/packages/scheduler/job_model.cpp
+++ b/packages/scheduler/job_model.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+bool isWithin(std::int64_t value, std::int64_t highest)
+{
+    return value >= 0 && value <= highest;
+}
+
 void checkStep(const job_spec &spec, int number, const std::string &source, findings &found)
 {
     const step_spec &step = spec.steps[std::size_t(number)];
@@ -16,8 +21,14 @@
     };
     if (step.count < 1 || step.count > maxTasksOfStep)
         report(fmt::format("the count must be 1 to {}", maxTasksOfStep));
-    if (step.size.milliCores < 0 || step.size.memoryMb < 0 || step.size.accelerators < 0)
-        report("sizes must not be negative");
+    for (std::int64_t amount : {step.size.milliCores, step.size.memoryMb, step.size.accelerators}) {
+        if (!isWithin(amount, maxAmountOfTask))
+            report(fmt::format("sizes must be 0 to {}", maxAmountOfTask));
+    }
+    if (!isWithin(step.expectedRunMs, maxSpanMs) || !isWithin(step.latencyTargetMs, maxSpanMs))
+        report(fmt::format("times must be 0 to {} ms", maxSpanMs));
+    if (step.maxPerWorker < 0 || step.maxUnavailable < 0)
+        report("bounds on numbers of tasks must not be negative");
     const bool dependsOnLater = std::any_of(step.after.begin(), step.after.end(),
                                             [number](int s) { return s < 0 || s >= number; });
     if (dependsOnLater)
@@ -46,6 +57,10 @@
     if (spec.scheduledOccurrences < 0 || spec.scheduledOccurrences > maxRepetitions)
         found.push_back(
             {{source, 0, 0}, fmt::format("repetitions must be 0 to {}", maxRepetitions)});
+    if (!isWithin(spec.firstDueUnixMs, maxUnixMs) || !isWithin(spec.periodMs, maxSpanMs))
+        found.push_back({{source, 0, 0},
+                         fmt::format("due times must be 0 to {} ms, {} ms apart at most", maxUnixMs,
+                                     maxSpanMs)});
     for (int i = 0; i < int(spec.steps.size()); ++i)
         checkStep(spec, i, source, found);
     return found;
--- a/packages/scheduler/job_model.h
+++ b/packages/scheduler/job_model.h
@@ -81,6 +81,10 @@
 constexpr int maxTasksOfStep = 2000;
 constexpr int maxSteps = 64;
 constexpr int maxRepetitions = 1000;
+/// Amounts and times stay so far below the range of their types that sums of all tasks fit.
+constexpr std::int64_t maxAmountOfTask = 1'000'000'000; ///< Thousandths of a core, or megabytes.
+constexpr std::int64_t maxSpanMs = 100'000'000'000; ///< Three years.
+constexpr std::int64_t maxUnixMs = 100'000'000'000'000; ///< In the year 5138.
 
 /// Returns the mistakes in \p spec, none if it may be submitted. \p source names the input in them.
 findings checkJob(const job_spec &spec, const std::string &source);
--- a/test/error/platform_odd_entries_test.cpp
+++ b/test/error/platform_odd_entries_test.cpp
@@ -64,6 +64,15 @@
     return body.replace(body.find("\"PLACE\""), 7, text);
 }
 
+std::string jobWith(const std::string &field, const std::string &text)
+{
+    const std::string step = field.rfind("job.", 0) == 0
+        ? R"({"count":1,"cpu":1}],")" + field.substr(4) + "\":" + text
+        : fmt::format(R"({{"cpu":1,{}"{}":{}}}])", field == "count" ? "" : "\"count\":1,", field,
+                      text);
+    return R"({"spec":"x","steps":[)" + step + "}";
+}
+
 long peakMemoryKb()
 {
     rusage usage = {};
@@ -192,3 +201,43 @@
     EXPECT_EQ(odd.report.running[0].progressPercent, 0);
     EXPECT_EQ(odd.report.running[0].figure, 0);
 }
+
+TEST(OddJob, NumbersOutOfRangeAreRefused)
+{
+    ASSERT_FALSE(isRefused(jobWith("estimateMs", "5")));
+    for (const char *field :
+         {"count", "cpu", "memMb", "gpu", "estimateMs", "antiAffinity", "targetMs", "mayMiss",
+          "job.repetitions", "job.startAtMs", "job.intervalMs"}) {
+        for (const char *number : tooLarge)
+            EXPECT_TRUE(isRefused(jobWith(field, number))) << field << " " << number;
+        EXPECT_TRUE(isRefused(jobWith(field, "-1"))) << field;
+        EXPECT_TRUE(isRefused(jobWith(field, "\"5\""))) << field;
+    }
+    // 2^32 and 2^32 + 1 read as an int of 32 bits are a step before and a count of one.
+    EXPECT_TRUE(isRefused(jobWith("count", "4294967297")));
+    EXPECT_TRUE(
+        isRefused(R"({"steps":[{"count":1,"cpu":1},{"count":1,"cpu":1,"after":[4294967296]}]})"));
+}
+
+TEST(OddConfiguration, NumbersOutOfRangeAreNotTakenForOthers)
+{
+    for (const char *number : tooLarge) {
+        const std::string n = number;
+        EXPECT_FALSE(parseConfiguration(R"({"version":)" + n + "}").has_value()) << n;
+        const auto config = parseConfiguration(
+            R"({"version":1,"routes":[{"host":"h","prefix":"/","service":"s","timeoutMs":)" + n
+            + R"(,"priority":)" + n + R"(,"maxAttempts":)" + n + R"(,"targetLatencyMs":)" + n
+            + "}]}");
+        if (!config)
+            continue;
+        ASSERT_EQ(config->queues.size(), 1u);
+        EXPECT_EQ(config->queues[0].timeoutMs, 0) << n;
+        EXPECT_EQ(config->queues[0].policy.priority, 0) << n;
+        EXPECT_EQ(config->queues[0].policy.attemptLimit, 1) << n;
+        EXPECT_EQ(config->queues[0].policy.objectiveSlackMs, 0) << n;
+    }
+    const auto config = parseConfiguration(
+        R"({"version":1,"routes":[{"host":"h","prefix":"/","service":"s","stretch":1e300}]})");
+    ASSERT_TRUE(config.has_value());
+    EXPECT_LE(config->queues[0].policy.stretch, 1e6);
+}
