Keep items that cannot be decoded in pages of the store

An item whose value cannot be decoded was left out of pages and events: in an event, what was known under its key stayed in use, and a page that ended with such items was followed by a wrong one, or by none, so that the rest of the list was taken for empty. Bytes in a key that are no text made the whole page unreadable, and the list was not followed any more.

Such an item now keeps its place with an empty value, which its reader refuses.

--- a/test/error/platform_odd_entries_test.cpp
+++ b/test/error/platform_odd_entries_test.cpp
@@ -241,3 +241,62 @@
     ASSERT_TRUE(config.has_value());
     EXPECT_LE(config->queues[0].policy.stretch, 1e6);
 }
+
+// A good entry beside one whose value cannot be decoded has to stay in the list, and what was known
+// under the odd one's key has to go.
+TEST(OddItem, KeepsItsPlaceInPagesAndEvents)
+{
+    const std::string items
+        = R"([{"key":"servers/a","value":"e30=","revision":5},{"key":"servers/b","value":"%%",)"
+          R"("revision":6},{"key":"servers/c","revision":7},7])";
+    const auto page = parseRangePage(R"({"items":)" + items + R"(,"hasMore":true,"currentRev":9})");
+    ASSERT_TRUE(page.has_value());
+    ASSERT_EQ(page->entries.size(), 3u);
+    EXPECT_EQ(page->entries[0].value, "{}");
+    EXPECT_EQ(page->entries[1].value, "");
+    EXPECT_EQ(page->entries[2].key, "servers/c");
+    const auto watched = parseWatchPage(R"({"events":)" + items + R"(,"currentRev":9})");
+    ASSERT_TRUE(watched.has_value());
+    ASSERT_EQ(watched->changes.size(), 3u);
+    EXPECT_FALSE(watched->changes[1].isDeleted);
+    EXPECT_EQ(watched->changes[1].entry.modRevision, 6);
+    // A single item is read for what it says: one that cannot be decoded has no answer.
+    EXPECT_FALSE(parseItem(R"({"key":"servers/b","value":"%%","revision":6})").has_value());
+}
+
+// The next page begins after the last item, whether it can be decoded or not.
+TEST(OddItem, AtTheEndOfAPageLeavesItsKey)
+{
+    const auto page
+        = parseRangePage(R"({"items":[{"key":"a","value":"%%"}],"hasMore":true,"currentRev":9})");
+    ASSERT_TRUE(page.has_value());
+    EXPECT_EQ(page->lastKey, "a");
+    const auto unnamed
+        = parseRangePage(R"({"items":[{"key":"a"},7],"hasMore":true,"currentRev":9})");
+    ASSERT_TRUE(unnamed.has_value());
+    EXPECT_EQ(unnamed->lastKey, "");
+}
+
+// The bytes of a key need not be text. They must not make the whole page unreadable.
+TEST(OddItem, KeysThatAreNoTextLeaveThePageReadable)
+{
+    const std::string items = "[{\"key\":\"servers/\xff\xc3\",\"value\":\"e30=\",\"revision\":5},"
+                              "{\"key\":\"servers/b\",\"value\":\"e30=\",\"revision\":6}]";
+    const auto page = parseRangePage(R"({"items":)" + items + R"(,"currentRev":9})");
+    ASSERT_TRUE(page.has_value());
+    ASSERT_EQ(page->entries.size(), 2u);
+    EXPECT_EQ(page->entries[1].key, "servers/b");
+    const auto watched = parseWatchPage(R"({"events":)" + items + R"(,"currentRev":9})");
+    ASSERT_TRUE(watched.has_value());
+    EXPECT_EQ(watched->changes.size(), 2u);
+}
+
+TEST(OddItem, NumbersOutOfRangeInStoreAnswers)
+{
+    for (const char *number : beyondTheType) {
+        const std::string n = number;
+        EXPECT_FALSE(parseWatchPage(R"({"events":[],"currentRev":)" + n + "}").has_value()) << n;
+        const auto lease = parseLeaseAnswer(R"({"lease":7,"ttlMs":)" + n + "}");
+        EXPECT_TRUE(!lease || lease->ttlSeconds == 0) << n;
+    }
+}
