Refuse CBOR text in chunks before the parser recurses

A text or byte string of unknown length consists of chunks, and the parser of the JSON library calls itself for a chunk that is again such a string. The check of the nesting depth does not see these calls. A frame of another host, or a stored record, of a megabyte of such heads ended the process for want of stack: scheduler_odd_records_test, OddFrame.NestedChunksOfTextAreRefused, ended by signal 11 without the change.

No message of ours has such strings. They are now found by a walk over the heads of the items, which needs no stack, and refused.

--- a/packages/base/cbor_bounds.cpp
+++ b/packages/base/cbor_bounds.cpp
@@ -1,5 +1,6 @@
 #include "cbor_bounds.h"
 
+#include <cstdint>
 #include <fmt/format.h>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -73,11 +74,45 @@
     std::size_t m_values = 0;
 };
 
+// Texts and byte strings of unknown length are made of chunks, for which the parser recurses before
+// it calls us. No message of ours has them. All other items follow one another, so that their heads
+// are found without a stack.
+bool hasChunkedText(std::string_view bytes)
+{
+    constexpr unsigned byteString = 2;
+    constexpr unsigned text = 3;
+    constexpr unsigned unknownLength = 31;
+    std::size_t at = 0;
+    while (at < bytes.size()) {
+        const unsigned head = static_cast<unsigned char>(bytes[at++]);
+        const unsigned kind = head >> 5U;
+        const unsigned detail = head & 0x1fU;
+        const bool isString = kind == byteString || kind == text;
+        if (isString && detail == unknownLength)
+            return true;
+        // An argument of 1, 2, 4 or 8 bytes follows the head.
+        const std::size_t width = detail >= 24 && detail < 28 ? std::size_t(1) << (detail - 24) : 0;
+        if (width > bytes.size() - at)
+            return false;
+        std::uint64_t argument = width == 0 ? detail : 0;
+        for (std::size_t i = 0; i < width; ++i)
+            argument = argument << 8U | static_cast<unsigned char>(bytes[at + i]);
+        at += width;
+        if (isString && argument > bytes.size() - at)
+            return false;
+        if (isString)
+            at += std::size_t(argument);
+    }
+    return false;
+}
+
 } // namespace
 
 std::optional<cbor_error> checkCbor(std::string_view bytes, std::size_t maxDepth,
                                     std::size_t maxValues)
 {
+    if (hasChunkedText(bytes))
+        return cbor_error{cbor_fault::malformed, "text in chunks"};
     bounds_check bounds(maxDepth, maxValues);
     if (json::sax_parse(bytes, &bounds, json::input_format_t::cbor))
         return std::nullopt;
