Leave out records whose numbers are out of range

A job's record with a negative count, an earlier step that does not exist or a time far out of range ended each owner that read it, one after the other; numbers beyond a field's type were converted to others. Without the change, scheduler_odd_records_test ended by signal 11 in odd_records.OfJobsAreLeftOut and failed in OddFrame.NumbersOutOfRangeAreRefused and odd_records.OfWorkersAreLeftOut.

Numbers in records and frames are now read with the range of their field. A new owner checks each job that it reads as if it were submitted, and leaves out what fails, with the line bad_record that it has for records that cannot be read at all. Progress of an occurrence that the job does not have, and of a job without an acceptance, is left out as well, and so are workers without a name.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -149,7 +149,9 @@
 void readAcceptance(scheduler_state &state, const stored_record &record)
 {
     auto job = decodeAcceptance(record.value);
-    if (!job) {
+    const bool isSound = job && checkJob(job->spec, record.key).empty() && job->acceptedUnixMs >= 0
+        && job->acceptedUnixMs <= maxUnixMs;
+    if (!isSound) {
         state.ports.log("bad_record", fmt::format("key={}", record.key));
         return;
     }
@@ -170,6 +172,9 @@
     }
     if (!decodeProgress(record.value, *job))
         state.ports.log("bad_record", fmt::format("key={}", record.key));
+    // Of a job whose acceptance cannot be read, only the end is of use.
+    if (job->spec.steps.empty() && job->finishedUnixMs == 0)
+        state.jobs.erase(name);
 }
 
 void readWorkers(scheduler_state &state, const std::string &text, instant inheritedUntil)
@@ -179,6 +184,8 @@
          end = text.find('\n', begin)) {
         const worker_id id{text.substr(begin, end - begin)};
         begin = end + 1;
+        if (id.empty())
+            continue;
         worker_record &worker = state.workers[id];
         worker.info.id = id;
         worker.lease.limitLapse(inheritedUntil);
--- a/packages/scheduler/record_codec.cpp
+++ b/packages/scheduler/record_codec.cpp
@@ -1,6 +1,9 @@
 #include "record_codec.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <type_traits>
 #include <utility>
 
 namespace crocuswind::scheduler {
@@ -14,6 +17,33 @@
 /// A job with the largest steps stays below; a value of the store holds at most a megabyte.
 constexpr std::size_t maxValues = 1'000'000;
 
+// Reads a value of the field's type. A number that the field cannot hold is refused: to convert it
+// would give another one.
+template <class value>
+void read(const json &j, value &field)
+{
+    if constexpr (std::is_integral_v<value> && !std::is_same_v<value, bool>) {
+        constexpr auto highest = std::uint64_t(std::numeric_limits<value>::max());
+        constexpr auto lowest = std::int64_t(std::numeric_limits<value>::min());
+        const bool isNegative = j.is_number_integer() && !j.is_number_unsigned();
+        const bool isInType = isNegative
+            ? j.get<std::int64_t>() >= lowest && j.get<std::int64_t>() < 0
+            : j.is_number_unsigned() && j.get<std::uint64_t>() <= highest;
+        if (!isInType)
+            throw std::out_of_range("a field cannot hold its number");
+    }
+    j.get_to(field);
+}
+
+void read(const json &j, std::vector<int> &numbers)
+{
+    if (!j.is_array())
+        throw std::out_of_range("a field cannot hold what is no list");
+    numbers.clear();
+    for (const json &number : j)
+        read(number, numbers.emplace_back());
+}
+
 // Arrays in a fixed order keep the records small; a field is only ever added at the end.
 json toJson(const step_spec &s)
 {
@@ -28,7 +58,7 @@
 {
     step_spec s;
     std::size_t i = 0;
-    const auto next = [&](auto &value) { j.at(i++).get_to(value); };
+    const auto next = [&](auto &value) { read(j.at(i++), value); };
     next(s.count);
     next(s.size.milliCores);
     next(s.size.memoryMb);
@@ -62,14 +92,14 @@
 job_spec specFromJson(const json &j)
 {
     job_spec spec;
-    j.at(0).get_to(spec.name.value);
-    j.at(1).get_to(spec.queue.value);
-    j.at(2).get_to(spec.payload);
+    read(j.at(0), spec.name.value);
+    read(j.at(1), spec.queue.value);
+    read(j.at(2), spec.payload);
     for (const json &step : j.at(3))
         spec.steps.push_back(stepFromJson(step));
-    j.at(4).get_to(spec.scheduledOccurrences);
-    j.at(5).get_to(spec.firstDueUnixMs);
-    j.at(6).get_to(spec.periodMs);
+    read(j.at(4), spec.scheduledOccurrences);
+    read(j.at(5), spec.firstDueUnixMs);
+    read(j.at(6), spec.periodMs);
     return spec;
 }
 
@@ -96,11 +126,19 @@
         if (j.is_discarded())
             return std::nullopt;
         return read(j);
-    } catch (const json::exception &) {
+    } catch (const std::exception &) {
         return std::nullopt;
     }
 }
 
+template <class value>
+value readAs(const json &j)
+{
+    value number = 0;
+    read(j, number);
+    return number;
+}
+
 bool isWorthStoring(const task_state &task)
 {
     return task.phase == task_phase::done || !task.failedRuns.empty() || !task.saved.empty();
@@ -123,20 +161,22 @@
 
 void readOccurrence(const json &j, job_record &job)
 {
-    const int number = j.at(0).get<int>();
+    const int number = readAs<int>(j.at(0));
+    if (number < 0 || number >= job.occurrenceCount())
+        return;
     const auto [found, isNew] = job.occurrences.try_emplace(number);
     if (isNew)
         found->second = newOccurrence(job.spec, number, instant());
     for (const json &row : j.at(1)) {
         task_state *task
-            = job.find({job.spec.name, number, row.at(0).get<int>(), row.at(1).get<int>()});
+            = job.find({job.spec.name, number, readAs<int>(row.at(0)), readAs<int>(row.at(1))});
         if (task == nullptr)
             continue;
         if (row.at(2).get<bool>())
             task->phase = task_phase::done;
-        row.at(3).get_to(task->failedRuns);
-        row.at(4).get_to(task->saved);
-        row.at(5).get_to(task->countedRun);
+        read(row.at(3), task->failedRuns);
+        read(row.at(4), task->saved);
+        read(row.at(5), task->countedRun);
         task->lastRun = task->countedRun;
         found->second.hasBegun = true;
     }
@@ -154,7 +194,7 @@
     return decode<job_record>(bytes, [](const json &j) {
         job_record job;
         job.spec = specFromJson(j.at(0));
-        j.at(1).get_to(job.acceptedUnixMs);
+        read(j.at(1), job.acceptedUnixMs);
         return job;
     });
 }
@@ -175,12 +215,12 @@
 bool decodeProgress(std::string_view bytes, job_record &job)
 {
     const auto isRead = decode<bool>(bytes, [&job](const json &j) {
-        j.at(0).get_to(job.spec.queue.value);
-        j.at(1).get_to(job.isCancelled);
-        j.at(2).get_to(job.isFailed);
-        j.at(3).get_to(job.finishedUnixMs);
-        j.at(4).get_to(job.occurrencesDone);
-        j.at(5).get_to(job.doneLater);
+        read(j.at(0), job.spec.queue.value);
+        read(j.at(1), job.isCancelled);
+        read(j.at(2), job.isFailed);
+        read(j.at(3), job.finishedUnixMs);
+        read(j.at(4), job.occurrencesDone);
+        read(j.at(5), job.doneLater);
         for (const json &occurrence : j.at(6))
             readOccurrence(occurrence, job);
         return true;
@@ -198,13 +238,13 @@
 {
     return decode<job_call>(bytes, [](const json &j) {
         job_call call;
-        j.at(0).get_to(call.token);
-        call.kind = job_call_kind(j.at(1).get<int>());
-        j.at(2).get_to(call.name.value);
-        j.at(3).get_to(call.queue.value);
+        read(j.at(0), call.token);
+        call.kind = job_call_kind(readAs<int>(j.at(1)));
+        read(j.at(2), call.name.value);
+        read(j.at(3), call.queue.value);
         if (!j.at(4).is_null())
             call.spec = specFromJson(j.at(4));
-        j.at(5).get_to(call.timeLeftMs);
+        read(j.at(5), call.timeLeftMs);
         return call;
     });
 }
@@ -219,12 +259,12 @@
 {
     return decode<job_reply>(bytes, [](const json &j) {
         job_reply reply;
-        j.at(0).get_to(reply.token);
-        reply.outcome = job_outcome(j.at(1).get<int>());
-        reply.status = job_status(j.at(2).get<int>());
-        j.at(3).get_to(reply.waitingJobs);
-        j.at(4).get_to(reply.reason);
-        j.at(5).get_to(reply.retryAfterMs);
+        read(j.at(0), reply.token);
+        reply.outcome = job_outcome(readAs<int>(j.at(1)));
+        reply.status = job_status(readAs<int>(j.at(2)));
+        read(j.at(3), reply.waitingJobs);
+        read(j.at(4), reply.reason);
+        read(j.at(5), reply.retryAfterMs);
         return reply;
     });
 }
