--- a/test/error/platform_settings_test.cpp
+++ b/test/error/platform_settings_test.cpp
@@ -56,3 +56,18 @@
     ASSERT_FALSE(settings.has_value());
     EXPECT_EQ(settings.error().size(), 1u);
 }
+
+// Times are kept in microseconds: a larger number of seconds made a lease of negative length.
+TEST(NodeSettings, NumbersOutOfRangeAreMistakes)
+{
+    for (const char *name :
+         {"bounds.holdMaxMs", "bounds.early_ms", "bounds.status_s", "bounds.graceS"}) {
+        for (const char *number : {"9223372036854775807", "99999999999999999999", "-1", "x"}) {
+            const auto settings = parseNodeSettings(good + name + "=" + number + "\n", "node.conf");
+            EXPECT_FALSE(settings.has_value()) << name << " " << number;
+        }
+    }
+    for (const char *ports : {"65536,65540", "0,5", "-1,5", "99999999999,1"})
+        EXPECT_FALSE(parseNodeSettings(good + "portRange=" + ports + "\n", "node.conf").has_value())
+            << ports;
+}
