Look for overdue stops by their time, not in all runs

Ten times a second the owner walked over all runs of all workers, with a look-up of the task for each, to find stops without an answer: 8% of its processor time with 490 workers (perf on scheduler_decision_benchmark 10 burst). Stops now wait in a queue in the order in which they are sent again, since all wait equally long.

--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -95,6 +95,7 @@
         state.dirtyJobs.clear();
         state.expiring.clear();
         state.unreportedWorkers.clear();
+        state.stopsToRepeat.clear();
         state.isWorkerListDirty = false;
         state.committingWorkers.clear();
         for (auto i = state.workers.begin(); i != state.workers.end();) {
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -75,6 +75,8 @@
     instant nextPollScanAt; ///< No worker is due for a poll before.
     instant nextReviewAt; ///< Of stops without an answer and leases.
     instant nextPruneAt; ///< Of workers that have left.
+    /// When stops are sent again that have no answer by then; may hold stops that were answered.
+    std::deque<std::pair<instant, task_name>> stopsToRepeat;
 
     // Commits.
     std::deque<job_name> dirtyJobs; ///< In the order in which they became dirty.
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -443,10 +443,24 @@
     task.phase = task_phase::stopping;
     task.isStopAnswered = false;
     task.stopAgainAt = state.now + stopRetryInterval;
+    state.stopsToRepeat.emplace_back(task.stopAgainAt, name);
     ++state.counters.stops;
     state.ports.stop({task.worker, name, task.lastRun, state.epoch});
 }
 
+void repeatStops(scheduler_state &state)
+{
+    while (!state.stopsToRepeat.empty() && state.stopsToRepeat.front().first <= state.now) {
+        const task_name name = state.stopsToRepeat.front().second;
+        state.stopsToRepeat.pop_front();
+        task_state *task = state.findTask(name);
+        const bool isOverdue = task != nullptr && task->phase == task_phase::stopping
+            && !task->isStopAnswered && task->stopAgainAt <= state.now;
+        if (isOverdue)
+            sendStop(state, name, *task);
+    }
+}
+
 void failIfExhausted(scheduler_state &state, job_record &job)
 {
     if (job.isOver())
--- a/packages/scheduler/task_lifecycle.h
+++ b/packages/scheduler/task_lifecycle.h
@@ -41,6 +41,9 @@
 /// Orders the worker to stop the current run.
 void sendStop(scheduler_state &state, const task_name &name, task_state &task);
 
+/// Sends the stops again that should have had an answer by now.
+void repeatStops(scheduler_state &state);
+
 /// Stops all runs of a job that is over and drops its tasks.
 void dropTasks(scheduler_state &state, job_record &job);
 
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -279,6 +279,7 @@
         return kind;
     if (request.step->fillsIdleRoom)
         kind.coefficients = m_state.interference.coefficientsOf(request.step->image);
+    kind.heap.reserve(pool.workers.size());
     for (int worker = 0; worker < int(pool.workers.size()); ++worker)
         addCandidate(pool, kind, request, worker);
     std::make_heap(kind.heap.begin(), kind.heap.end(), isDearer);
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -311,16 +311,9 @@
                 if (state.unreportedWorkers.empty())
                     releaseUnlocatedTasks(state);
             }
-            continue;
-        }
-        for (const auto &[name, run] : worker.runs) {
-            task_state &task = *state.findTask(name);
-            const bool isOverdue = task.phase == task_phase::stopping && !task.isStopAnswered
-                && task.stopAgainAt <= state.now;
-            if (isOverdue)
-                sendStop(state, name, task);
         }
     }
+    repeatStops(state);
 }
 
 void handlePollResult(scheduler_state &state, const poll_order &order, const poll_result &result)
