--- a/test/correctness/scheduler_worker_choice_test.cpp
+++ b/test/correctness/scheduler_worker_choice_test.cpp
@@ -36,9 +36,13 @@
         state.soleUntil = state.now + 10s;
         for (int i = 0; i < 60; ++i)
             addWorker(i);
-        for (int i = 0; i < 400; ++i)
-            state.interference.observe(image("serving"), 0.3 + random.fraction(), 0.4,
-                                       {{image("filling"), random.fraction()}});
+        std::string coefficients;
+        for (int filling = 0; filling < 5; ++filling) {
+            for (int serving = 0; serving < 5; ++serving)
+                coefficients += fmt::format("filling-{} serving-{} {}\n", filling, serving,
+                                            random.below(2) == 0 ? 0.1 : 3 * random.fraction());
+        }
+        state.interference.decode(coefficients);
     }
 
     std::string image(const std::string &kind)
