--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -204,6 +204,7 @@
         job.policy = policy->second;
     job.policy.queue = job.spec.queue;
     job.chainsMs = chainsFromMs(job.spec);
+    state.unbegunJobs.insert(job.spec.name);
     resumeOccurrences(state, job, unixNowMs);
 }
 
@@ -295,6 +296,7 @@
         const auto isOfJob = [job](const ready_step &step) { return step.job == job; };
         state.ready.erase(std::remove_if(state.ready.begin(), state.ready.end(), isOfJob),
                           state.ready.end());
+        state.unbegunJobs.erase(name);
         state.jobs.erase(name);
     }
 }
--- a/packages/scheduler/job_intake.cpp
+++ b/packages/scheduler/job_intake.cpp
@@ -58,6 +58,7 @@
                                       job->chainsMs.empty() ? 0 : job->chainsMs.front()));
     markDirty(state, *job).submissions.push_back(call.token);
     state.nextCommitAt = state.now;
+    state.unbegunJobs.insert(call.name);
     state.jobs[call.name] = std::move(job);
 }
 
@@ -143,9 +144,14 @@
     job_reply reply;
     reply.token = call.token;
     reply.outcome = job_outcome::found;
-    for (const auto &[name, job] : state.jobs) {
-        if (job->spec.queue == call.queue && job->isStored && !job->isOver() && !job->hasBegun())
-            ++reply.waitingJobs;
+    for (auto name = state.unbegunJobs.begin(); name != state.unbegunJobs.end();) {
+        const job_record *job = state.findJob(*name);
+        if (job == nullptr || job->isOver() || job->hasBegun()) {
+            name = state.unbegunJobs.erase(name);
+            continue;
+        }
+        reply.waitingJobs += job->spec.queue == call.queue && job->isStored ? 1 : 0;
+        ++name;
     }
     state.ports.answer(reply);
 }
@@ -196,6 +202,7 @@
         }
         state.waiters.erase(name);
         state.dirtyJobs.erase(std::find(state.dirtyJobs.begin(), state.dirtyJobs.end(), name));
+        state.unbegunJobs.erase(name);
         state.jobs.erase(name);
     }
 }
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -90,6 +90,7 @@
         state.isCommitting = false;
         state.isDispatchWanted = false;
         state.jobs.clear();
+        state.unbegunJobs.clear();
         state.ready.clear();
         state.dueOccurrences.clear();
         state.dirtyJobs.clear();
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -66,6 +66,8 @@
 
     std::map<queue_id, queue_policy> queues;
     std::unordered_map<job_name, std::unique_ptr<job_record>> jobs;
+    /// Jobs that may not have begun; may hold others, which are left out when they are counted.
+    std::set<job_name> unbegunJobs;
     std::int64_t lastJobNumber = 0;
     std::map<worker_id, worker_record> workers;
     /// Workers that an earlier owner may have used and that have not reported yet. While there are
--- a/test/correctness/scheduler_jobs_test.cpp
+++ b/test/correctness/scheduler_jobs_test.cpp
@@ -257,6 +257,35 @@
     EXPECT_EQ(owner.replies.at(token).waitingJobs, 1);
 }
 
+// Guards the set of jobs that have not begun, which counts are taken from: each count leaves jobs
+// out for good.
+TEST_F(job_scheduling, CountsWaitingJobsAgainAfterSomeHaveBegunOrAreCancelledAndAfterATakeover)
+{
+    begin();
+    const auto waiting = [this](fake_owner &asked) {
+        return asked.replies.at(asked.call(job_call_kind::count_waiting, {})).waitingJobs;
+    };
+    const job_spec filling = plainJob("a", 32);
+    owner.call(job_call_kind::submit, filling.name, &filling);
+    world.run(200ms);
+    for (const char *name : {"b", "c", "d"}) {
+        const job_spec spec = plainJob(name, 1);
+        owner.call(job_call_kind::submit, spec.name, &spec);
+    }
+    world.run(200ms);
+    EXPECT_EQ(waiting(owner), 3);
+    owner.call(job_call_kind::cancel, {"c"});
+    EXPECT_EQ(waiting(owner), 2);
+    world.run(100ms);
+    owner.isDead = true;
+    fake_owner &next = world.addOwner("host-2");
+    world.takeOver(next);
+    world.run(100ms);
+    EXPECT_EQ(waiting(next), 2);
+    world.run(10s);
+    EXPECT_EQ(waiting(next), 0);
+}
+
 TEST_F(job_scheduling, AreRefusedAtOnceWhileTheStoreDoesNotAnswer)
 {
     begin();
