--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -110,11 +110,13 @@
         state.isCommitting = false;
         state.isDispatchWanted = false;
         state.jobs.clear();
+        state.unbegunJobs.clear();
         state.ready.clear();
         state.dueOccurrences.clear();
         state.dirtyJobs.clear();
         state.expiring.clear();
         state.unreportedWorkers.clear();
+        state.stopsToRepeat.clear();
         state.isWorkerListDirty = false;
         state.leavingDue.clear();
         state.committingWorkers.clear();
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -67,6 +67,8 @@
 
     std::map<queue_id, queue_policy> queues;
     std::unordered_map<job_name, std::unique_ptr<job_record>> jobs;
+    /// Jobs that may not have begun; may hold others, which are left out when they are counted.
+    std::set<job_name> unbegunJobs;
     std::int64_t lastJobNumber = 0;
     std::map<worker_id, worker_record> workers;
     unreported_workers unreportedWorkers;
@@ -74,6 +76,8 @@
     instant nextPollScanAt; ///< No worker is due for a poll before.
     instant nextReviewAt; ///< Of stops without an answer and leases.
     instant nextPruneAt; ///< Of workers that have left.
+    /// When stops are sent again that have no answer by then; may hold stops that were answered.
+    std::deque<std::pair<instant, task_name>> stopsToRepeat;
 
     // Commits.
     std::deque<job_name> dirtyJobs; ///< In the order in which they became dirty.
--- a/packages/scheduler/task_lifecycle.h
+++ b/packages/scheduler/task_lifecycle.h
@@ -49,6 +49,9 @@
 /// Orders the worker to stop the current run.
 void sendStop(scheduler_state &state, const task_name &name, task_state &task);
 
+/// Sends the stops again that should have had an answer by now.
+void repeatStops(scheduler_state &state);
+
 /// Stops all runs of a job that is over and drops its tasks.
 void dropTasks(scheduler_state &state, job_record &job);
 
