Measure what the report of a worker costs the owner

The owner of the jobs is saturated on a site with 490 workers, whose reports it handles 1,500 times a second.

--- /dev/null
+++ b/test/correctness/scheduler_report_cost_test.cpp
@@ -0,0 +1,66 @@
+// Guards against reports that cost the owner far more than their content: on a site with 490
+// workers it was saturated by 1,500 reports a second, each of which copied the runs of its worker.
+
+#include "correctness/scheduler_report_fleet.h"
+
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <new>
+
+using namespace crocuswind;
+using namespace crocuswind::scheduler;
+
+namespace {
+
+std::size_t allocations = 0;
+
+} // namespace
+
+void *operator new(std::size_t size)
+{
+    ++allocations;
+    if (void *memory = std::malloc(size))
+        return memory;
+    throw std::bad_alloc();
+}
+
+void operator delete(void *memory) noexcept
+{
+    std::free(memory);
+}
+
+void operator delete(void *memory, std::size_t) noexcept
+{
+    std::free(memory);
+}
+
+namespace {
+
+struct report_cost : testing::Test
+{
+    // The allocations of a report in which nothing has changed.
+    std::size_t allocationsOfReport(int servingTasks, int fillingTasks)
+    {
+        report_fleet fleet(1);
+        fleet.serve("session-store-of-the-shop", servingTasks);
+        fleet.placeAll();
+        for (const char *image : {"video-transcoder-for-uploads", "index-builder-of-the-search"})
+            fleet.fill(image, fillingTasks / 2);
+        fleet.placeAll();
+        EXPECT_EQ(fleet.running[fleet.ids[0]].size(), std::size_t(servingTasks + fillingTasks));
+        const auto [order, result] = fleet.reportOf(fleet.ids[0], report_fleet::usualLatencyMs);
+        fleet.ports.isDigesting = false;
+        const std::size_t before = allocations;
+        fleet.core.onPollResult(fleet.now, order, result);
+        return allocations - before;
+    }
+};
+
+} // namespace
+
+TEST_F(report_cost, UnchangedRunsAreNotCopied)
+{
+    const std::size_t withFewRuns = allocationsOfReport(1, 2);
+    EXPECT_EQ(allocationsOfReport(6, 20), withFewRuns);
+    EXPECT_LE(withFewRuns, 4U);
+}
