Keep an ended job while a worker reports a run of it

The owner of the jobs ended by a segmentation fault when a worker went on reporting a run for longer than an ended job can be queried, for example since the worker did not carry a stop out. The job was forgotten while its run was still bound to the worker, and the next report of that worker took the figures of the run into a task that did not exist any more.

An ended job is now kept while one of its runs may exist, and is looked at again after the same time. scheduler_stuck_run_test ended by signal 11 before and passes now.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -291,6 +291,10 @@
         const job_record *job = state.findJob(name);
         if (job == nullptr)
             continue;
+        if (job->mayRun()) {
+            state.expiring.emplace_back(state.now + state.settings.keepEndedJobs, name);
+            continue;
+        }
         markDirty(state, *job);
         const auto isOfJob = [job](const ready_step &step) { return step.job == job; };
         state.ready.erase(std::remove_if(state.ready.begin(), state.ready.end(), isOfJob),
--- a/packages/scheduler/commit_log.h
+++ b/packages/scheduler/commit_log.h
@@ -19,7 +19,8 @@
 /// yet are refused if the store is not available.
 void takeBackCommit(scheduler_state &state);
 
-/// Forgets ended jobs whose time has come, here and in the store.
+/// Forgets ended jobs whose time has come, here and in the store. A job stays while a worker may
+/// have a run of it.
 void forgetEndedJobs(scheduler_state &state);
 
 /// Rebuilds jobs and the list of workers from the records of an earlier owner.
--- a/packages/scheduler/job_record.cpp
+++ b/packages/scheduler/job_record.cpp
@@ -73,6 +73,17 @@
                        [](const auto &entry) { return entry.second.hasBegun; });
 }
 
+bool job_record::mayRun() const
+{
+    for (const auto &[number, occurrence] : occurrences) {
+        for (const auto &tasks : occurrence.steps) {
+            if (std::any_of(tasks.begin(), tasks.end(), scheduler::mayRun))
+                return true;
+        }
+    }
+    return false;
+}
+
 job_status statusOf(const job_record &job)
 {
     if (job.isFinishStored) {
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -102,6 +102,8 @@
     void finishOccurrence(int number);
     /// Returns true if a task of it has ever started.
     bool hasBegun() const;
+    /// Returns true if a run of it may exist on some worker.
+    bool mayRun() const;
 };
 
 /// Returns what callers are told. An end is told only once it is durable.
--- /dev/null
+++ b/test/failure/scheduler_stuck_run_test.cpp
@@ -0,0 +1,39 @@
+// Guards against an owner that forgets an ended job while a worker still reports a run of it: the
+// figures of that run were taken into a job that did not exist any more.
+
+#include "correctness/scheduler_report_fleet.h"
+
+#include <gtest/gtest.h>
+
+using namespace crocuswind;
+using namespace crocuswind::scheduler;
+
+TEST(SchedulerStuckRun, KeepsTheJobUntilItsRunHasEnded)
+{
+    report_fleet fleet(1);
+    fleet.fill("transcoder", 1);
+    fleet.placeAll();
+    const worker_id worker = fleet.ids[0];
+    ASSERT_EQ(fleet.running[worker].size(), 1U);
+    const auto [task, run] = fleet.running[worker][0];
+    job_call cancel;
+    cancel.kind = job_call_kind::cancel;
+    cancel.name = task.job;
+    fleet.core.call(fleet.now, fleet.clockMs(), cancel);
+    // The worker does not carry the stop out, for longer than ended jobs can be queried.
+    for (int second = 0; second < 400; ++second) {
+        fleet.now += 990ms;
+        fleet.settle();
+    }
+    EXPECT_EQ(fleet.core.counters().jobsKnown, 1);
+
+    fleet.running[worker].clear();
+    auto [order, result] = fleet.reportOf(worker, report_fleet::usualLatencyMs);
+    result.report.ended.push_back({1, task, run, end_reason::stopped, ""});
+    fleet.core.onPollResult(fleet.now, order, result);
+    for (int second = 0; second < 400; ++second) {
+        fleet.now += 990ms;
+        fleet.settle();
+    }
+    EXPECT_EQ(fleet.core.counters().jobsKnown, 0);
+}
