Bind runs to their tasks and images, and index images

Each report copied the runs of its worker three times, built a set of the names in it, looked each task and job up by its name five times or more and each pair of images by two strings, in the maps of the worker and in the interference model.

A bound run now points at its job, step, task and images; jobs, tasks and images stay as long as a run of them is bound. Rows of a report mark the runs that they show, instead of a set. The interference model gives images small indexes and keeps coefficients in rows by index. Names of tasks are compared once a level.

A worker counts the tasks of an image in idle room.

--- a/packages/scheduler/evacuation.cpp
+++ b/packages/scheduler/evacuation.cpp
@@ -19,14 +19,13 @@
 {
     if (!worker.info.isDraining)
         return;
-    const auto runs = worker.runs; // Changes in the loop.
-    auto underWay = std::count_if(runs.begin(), runs.end(), [&](const auto &run) {
-        return state.findTask(run.first)->phase == task_phase::stopping;
+    auto underWay = std::count_if(worker.runs.begin(), worker.runs.end(), [](const auto &entry) {
+        return entry.second.task->phase == task_phase::stopping;
     });
-    for (const auto &[name, run] : runs) {
-        const job_record &job = *state.findJob(name.job);
-        const step_spec &step = job.spec.steps[std::size_t(name.step)];
-        task_state &task = *state.findTask(name);
+    for (const auto &[name, run] : worker.runs) {
+        const job_record &job = *run.job;
+        const step_spec &step = *run.step;
+        task_state &task = *run.task;
         if (!step.isLasting || task.phase != task_phase::running || underWay >= maxMovesUnderWay)
             continue;
         if (chooseWorker(state, {&step, job.policy.service, nullptr, rack_id(), 1}) == nullptr)
--- a/packages/scheduler/interference_model.cpp
+++ b/packages/scheduler/interference_model.cpp
@@ -40,19 +40,33 @@
 
 } // namespace
 
-double interference_model::unloadedRatio(const std::string &serving) const
+int interference_model::indexOfServing(const std::string &image)
 {
-    const auto found = m_serving.find(serving);
-    const double low = found == m_serving.end() ? unknownLowRatio : found->second.lowRatio;
-    return low * (1 - utilisationAtLowRatio);
+    const auto [found, isNew] = m_servingIndexes.try_emplace(image, int(m_serving.size()));
+    if (isNew)
+        m_serving.push_back({unknownLowRatio, unknownLoad});
+    return found->second;
 }
 
-double interference_model::targetUtilisation(const std::string &serving) const
+int interference_model::indexOfFilling(const std::string &image)
+{
+    const auto [found, isNew] = m_fillingIndexes.try_emplace(image, int(m_filling.size()));
+    if (isNew)
+        m_filling.push_back({&found->first, {}});
+    return found->second;
+}
+
+double interference_model::unloadedRatio(int serving) const
+{
+    return m_serving[std::size_t(serving)].lowRatio * (1 - utilisationAtLowRatio);
+}
+
+double interference_model::targetUtilisation(int serving) const
 {
     return std::max(0.0, 1 - unloadedRatio(serving) / aimedRatio);
 }
 
-double interference_model::utilisation(const std::string &serving, double latencyRatio) const
+double interference_model::utilisation(int serving, double latencyRatio) const
 {
     const double unloaded = unloadedRatio(serving);
     if (latencyRatio <= unloaded)
@@ -60,46 +74,64 @@
     return std::min(maxUtilisation, 1 - unloaded / latencyRatio);
 }
 
-double interference_model::coefficient(const std::string &filling, const std::string &serving) const
+double interference_model::coefficient(int filling, int serving) const
 {
-    const auto found = m_coefficients.find({filling, serving});
-    return found == m_coefficients.end() ? unknownCoefficient : found->second;
+    const auto &beside = m_filling[std::size_t(filling)].beside;
+    return std::size_t(serving) < beside.size() ? beside[std::size_t(serving)].coefficient
+                                                : unknownCoefficient;
 }
 
-int interference_model::indexOf(const std::string &serving)
+double interference_model::coefficient(const std::string &filling, const std::string &serving) const
 {
-    return m_indexes.try_emplace(serving, int(m_indexes.size())).first->second;
+    const auto first = m_fillingIndexes.find(filling);
+    const auto second = m_servingIndexes.find(serving);
+    if (first == m_fillingIndexes.end() || second == m_servingIndexes.end())
+        return unknownCoefficient;
+    return coefficient(first->second, second->second);
 }
 
 std::vector<double> interference_model::coefficientsOf(const std::string &filling) const
 {
-    std::vector<double> coefficients(m_indexes.size());
-    for (const auto &[serving, index] : m_indexes)
-        coefficients[std::size_t(index)] = coefficient(filling, serving);
+    std::vector<double> coefficients(m_serving.size(), unknownCoefficient);
+    const auto found = m_fillingIndexes.find(filling);
+    if (found == m_fillingIndexes.end())
+        return coefficients;
+    const auto &beside = m_filling[std::size_t(found->second)].beside;
+    for (std::size_t serving = 0; serving < beside.size(); ++serving)
+        coefficients[serving] = beside[serving].coefficient;
     return coefficients;
 }
 
-double interference_model::added(const std::string &serving,
-                                 const std::vector<interfering_share> &shares) const
+double interference_model::added(int serving, const std::vector<interfering_share> &shares) const
 {
     double sum = 0;
     for (const interfering_share &s : shares)
-        sum += coefficient(s.image, serving) * s.share;
+        sum += coefficient(s.filling, serving) * s.share;
     return sum;
 }
 
-double interference_model::usualLoad(const std::string &serving) const
+double interference_model::usualLoad(int serving) const
+{
+    return m_serving[std::size_t(serving)].usualLoad;
+}
+
+// Returns a coefficient to be changed, which is known from now on.
+double &interference_model::knownCoefficient(int filling, int serving)
 {
-    const auto found = m_serving.find(serving);
-    return found == m_serving.end() ? unknownLoad : found->second.usualLoad;
+    filling_record &image = m_filling[std::size_t(filling)];
+    if (image.beside.empty())
+        m_fillingImages.insert(*image.name);
+    if (std::size_t(serving) >= image.beside.size())
+        image.beside.resize(std::size_t(serving) + 1, {unknownCoefficient, false});
+    pair_record &pair = image.beside[std::size_t(serving)];
+    pair.isKnown = true;
+    return pair.coefficient;
 }
 
-double interference_model::observe(const std::string &serving, double latencyRatio, double load,
+double interference_model::observe(int serving, double latencyRatio, double load,
                                    const std::vector<interfering_share> &shares)
 {
-    serving_record &record
-        = m_serving.try_emplace(serving, serving_record{unknownLowRatio, unknownLoad})
-              .first->second;
+    serving_record &record = m_serving[std::size_t(serving)];
     record.lowRatio
         += lowRatioGain * (latencyRatio < record.lowRatio ? lowQuantile - 1 : lowQuantile);
     const double error = utilisation(serving, latencyRatio) - load - added(serving, shares);
@@ -107,9 +139,7 @@
     for (const interfering_share &s : shares)
         squares += s.share * s.share;
     for (const interfering_share &s : shares) {
-        double &coefficient
-            = m_coefficients.try_emplace({s.image, serving}, unknownCoefficient).first->second;
-        m_fillingImages.insert(s.image);
+        double &coefficient = knownCoefficient(s.filling, serving);
         coefficient = std::clamp(coefficient + coefficientGain * error * s.share / squares, 0.0,
                                  maxCoefficient);
     }
@@ -121,8 +151,14 @@
 std::string interference_model::encode() const
 {
     std::string text;
-    for (const auto &[pair, coefficient] : m_coefficients)
-        text += fmt::format("{} {} {:.3f}\n", pair.first, pair.second, coefficient);
+    for (const auto &[filling, fillingIndex] : m_fillingIndexes) {
+        const auto &beside = m_filling[std::size_t(fillingIndex)].beside;
+        for (const auto &[serving, servingIndex] : m_servingIndexes) {
+            const auto index = std::size_t(servingIndex);
+            if (index < beside.size() && beside[index].isKnown)
+                text += fmt::format("{} {} {:.3f}\n", filling, serving, beside[index].coefficient);
+        }
+    }
     return text;
 }
 
@@ -132,10 +168,9 @@
     std::string filling;
     std::string serving;
     double coefficient = 0;
-    while (lines >> filling >> serving >> coefficient) {
-        m_coefficients[{filling, serving}] = std::clamp(coefficient, 0.0, maxCoefficient);
-        m_fillingImages.insert(filling);
-    }
+    while (lines >> filling >> serving >> coefficient)
+        knownCoefficient(indexOfFilling(filling), indexOfServing(serving))
+            = std::clamp(coefficient, 0.0, maxCoefficient);
 }
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/job_model.h
+++ b/packages/scheduler/job_model.h
@@ -105,8 +105,9 @@
     friend bool operator!=(const task_name &a, const task_name &b) { return !(a == b); }
     friend bool operator<(const task_name &a, const task_name &b)
     {
-        return std::tie(a.job, a.occurrence, a.step, a.index)
-            < std::tie(b.job, b.occurrence, b.step, b.index);
+        if (const int order = a.job.value.compare(b.job.value); order != 0)
+            return order < 0;
+        return std::tie(a.occurrence, a.step, a.index) < std::tie(b.occurrence, b.step, b.index);
     }
 };
 
--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -36,18 +36,13 @@
 /// Runs that one report may move away from a worker.
 constexpr int maxMovesOfReport = 4;
 
-const step_spec &stepOf(scheduler_state &state, const task_name &name)
-{
-    return state.findJob(name.job)->spec.steps[std::size_t(name.step)];
-}
-
 double capacityOf(const worker_record &worker)
 {
     return std::max<double>(1, double(worker.info.capacity.milliCores));
 }
 
 // Takes the figures of the report into the records by image.
-void noteFigures(scheduler_state &state, worker_record &worker)
+void noteFigures(worker_record &worker)
 {
     for (auto &[image, serving] : worker.serving) {
         serving.latencyRatio = 0;
@@ -57,70 +52,75 @@
     for (auto &[image, filling] : worker.filling)
         filling.usedShare = 0;
     for (const auto &[name, run] : worker.runs) {
-        const step_spec &step = stepOf(state, name);
-        const task_state &task = *state.findTask(name);
-        if (step.fillsIdleRoom)
-            worker.filling[step.image].usedShare += double(task.figure) / capacityOf(worker);
+        const task_state &task = *run.task;
+        if (run.filling != nullptr)
+            run.filling->usedShare += double(task.figure) / capacityOf(worker);
         // A task that is still starting has few users.
-        if (step.latencyTargetMs > 0 && task.progressPercent == 100) {
-            serving_image &serving = worker.serving[step.image];
-            const double ratio = double(task.figure) / double(step.latencyTargetMs);
+        if (run.serving != nullptr && task.progressPercent == 100) {
+            serving_image &serving = *run.serving;
+            const double ratio = double(task.figure) / double(run.step->latencyTargetMs);
             serving.latencyRatio = std::max(serving.latencyRatio, ratio);
             serving.meanRatio += (ratio - serving.meanRatio) / ++serving.working;
         }
     }
 }
 
-std::vector<interfering_share> usedShares(const worker_record &worker)
+// The shares of the images in the worker's idle room, in a list that is used again and again.
+const std::vector<interfering_share> &usedShares(scheduler_state &state,
+                                                 const worker_record &worker)
 {
-    std::vector<interfering_share> shares;
+    state.shares.clear();
     for (const auto &[image, filling] : worker.filling)
-        shares.push_back({image, filling.usedShare});
-    return shares;
+        state.shares.push_back({filling.image, filling.usedShare});
+    return state.shares;
 }
 
-std::vector<interfering_share> wantedShares(const worker_record &worker)
+const std::vector<interfering_share> &wantedShares(scheduler_state &state,
+                                                   const worker_record &worker)
 {
-    std::vector<interfering_share> shares;
+    state.shares.clear();
     for (const auto &[image, filling] : worker.filling)
-        shares.push_back({image, double(filling.wantedMilliCores) / capacityOf(worker)});
-    return shares;
+        state.shares.push_back(
+            {filling.image, double(filling.wantedMilliCores) / capacityOf(worker)});
+    return state.shares;
 }
 
 void learn(scheduler_state &state, worker_record &worker)
 {
-    const auto shares = usedShares(worker);
+    const auto &shares = usedShares(state, worker);
     for (auto &[image, serving] : worker.serving) {
         if (serving.meanRatio <= 0)
             continue;
         if (!serving.isLoadKnown) {
-            serving.load = state.interference.usualLoad(image);
+            serving.load = state.interference.usualLoad(serving.image);
             serving.isLoadKnown = true;
         }
-        serving.load = state.interference.observe(image, serving.meanRatio, serving.load, shares);
+        serving.load
+            = state.interference.observe(serving.image, serving.meanRatio, serving.load, shares);
     }
 }
 
-double headroom(const interference_model &model, const std::string &serving, double load)
+double headroom(const interference_model &model, int serving, double load)
 {
     return std::max(minHeadroom, model.targetUtilisation(serving) - load);
 }
 
-// Returns the pace at which the work of \p image keeps to what the serving tasks bear.
+// Returns the pace at which the work of an image keeps to what the serving tasks bear. Needs the
+// budgets.
 int sustainablePace(const interference_model &model, const worker_record &worker,
-                    const std::string &image)
+                    const filling_image &filling)
 {
-    const auto wanted = wantedShares(worker);
+    const double share = double(filling.wantedMilliCores) / capacityOf(worker);
     double factor = 1;
+    auto budget = worker.budgets.begin();
     for (const auto &[name, serving] : worker.serving) {
-        const double demand = model.added(name, wanted);
-        const double own = model.coefficient(image, name)
-            * double(worker.filling.at(image).wantedMilliCores) / capacityOf(worker);
+        const double demand = (budget++)->added;
+        const double own = model.coefficient(filling.image, serving.image) * share;
         if (demand <= 0 || own < demand * minBlamedPart)
             continue;
-        factor = std::min(factor, headroom(model, name, serving.load) / demand);
+        factor = std::min(factor, headroom(model, serving.image, serving.load) / demand);
         if (serving.latencyRatio > overTargetRatio)
-            factor = std::min(factor, worker.filling.at(image).pacePercent * overTargetCut / 100);
+            factor = std::min(factor, filling.pacePercent * overTargetCut / 100);
     }
     const int percent = int(factor * 100) / paceStepPercent * paceStepPercent;
     return percent < minPacePercent ? 0 : percent;
@@ -136,9 +136,9 @@
     state.ports.pace({worker.info.id, name, task.lastRun, percent, state.epoch});
 }
 
-void setPace(scheduler_state &state, worker_record &worker, const std::string &image, int percent)
+void setPace(scheduler_state &state, const worker_record &worker, const std::string &image,
+             filling_image &filling, int percent)
 {
-    filling_image &filling = worker.filling.at(image);
     if (filling.pacePercent == percent)
         return;
     state.ports.logDetail(
@@ -158,23 +158,31 @@
     return step.savesProgress || pacePercent == 0 || task.progressPercent <= maxLostProgressPercent;
 }
 
+bool isHeldBack(const scheduler_state &state, const filling_image &filling)
+{
+    return filling.pacePercent <= slowPacePercent && state.now - filling.slowSince >= slowLimit;
+}
+
 // Stops runs that are held back here and can go on elsewhere. They resume from their checkpoint.
 void moveSlowRuns(scheduler_state &state, worker_record &worker)
 {
+    const auto &images = worker.filling;
+    const bool holdsBack = std::any_of(images.begin(), images.end(), [&](const auto &entry) {
+        return isHeldBack(state, entry.second);
+    });
+    if (!holdsBack)
+        return;
     int moves = 0;
-    const auto runs = worker.runs;
-    for (const auto &[name, run] : runs) {
-        const step_spec &step = stepOf(state, name);
-        if (!step.fillsIdleRoom || moves >= maxMovesOfReport)
+    for (const auto &[name, run] : worker.runs) {
+        if (run.filling == nullptr || moves >= maxMovesOfReport)
             continue;
-        const filling_image &filling = worker.filling.at(step.image);
-        task_state &task = *state.findTask(name);
-        const bool isHeldBack
-            = filling.pacePercent <= slowPacePercent && state.now - filling.slowSince >= slowLimit;
-        if (!isHeldBack || !isWorthMoving(step, task, filling.pacePercent))
+        const filling_image &filling = *run.filling;
+        task_state &task = *run.task;
+        if (!isHeldBack(state, filling) || !isWorthMoving(*run.step, task, filling.pacePercent))
             continue;
-        const service_id &service = state.findJob(name.job)->policy.service;
-        const worker_record *target = chooseWorker(state, {&step, service, nullptr, rack_id(), 1});
+        const service_id &service = run.job->policy.service;
+        const worker_record *target
+            = chooseWorker(state, {run.step, service, nullptr, rack_id(), 1});
         if (target == nullptr || target == &worker)
             continue;
         state.ports.logDetail("move",
@@ -218,40 +226,37 @@
     worker.budgets.clear();
     if (worker.serving.empty())
         return;
-    const auto shares = wantedShares(worker);
+    const auto &shares = wantedShares(state, worker);
     for (const auto &[image, serving] : worker.serving) {
-        const double load = std::max(serving.load, state.interference.usualLoad(image));
-        worker.budgets.push_back({state.interference.indexOf(image),
-                                  state.interference.added(image, shares),
-                                  headroom(state.interference, image, load)});
+        const double load = std::max(serving.load, state.interference.usualLoad(serving.image));
+        worker.budgets.push_back({serving.image, state.interference.added(serving.image, shares),
+                                  headroom(state.interference, serving.image, load)});
     }
 }
 
 void controlPace(scheduler_state &state, worker_record &worker)
 {
-    noteFigures(state, worker);
+    noteFigures(worker);
     learn(state, worker);
     updateBudgets(state, worker);
     if (worker.filling.empty())
         return;
     for (auto &[image, filling] : worker.filling)
-        setPace(state, worker, image, sustainablePace(state.interference, worker, image));
-    const auto runs = worker.runs;
-    for (const auto &[name, run] : runs) {
-        const step_spec &step = stepOf(state, name);
-        if (step.fillsIdleRoom)
-            sendPace(state, worker, name, *state.findTask(name),
-                     worker.filling.at(step.image).pacePercent);
+        setPace(state, worker, image, filling,
+                sustainablePace(state.interference, worker, filling));
+    for (const auto &[name, run] : worker.runs) {
+        if (run.filling != nullptr)
+            sendPace(state, worker, name, *run.task, run.filling->pacePercent);
     }
     moveSlowRuns(state, worker);
 }
 
-void onRunConfirmed(scheduler_state &state, worker_record &worker, const task_name &name,
+void onRunConfirmed(scheduler_state &state, const worker_record &worker, const task_name &name,
                     task_state &task)
 {
-    const step_spec &step = stepOf(state, name);
-    if (step.fillsIdleRoom)
-        sendPace(state, worker, name, task, worker.filling.at(step.image).pacePercent);
+    const filling_image *filling = worker.runs.at(name).filling;
+    if (filling != nullptr)
+        sendPace(state, worker, name, task, filling->pacePercent);
 }
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/pace_control.h
+++ b/packages/scheduler/pace_control.h
@@ -25,7 +25,7 @@
 void controlPace(scheduler_state &state, worker_record &worker);
 
 /// A run was confirmed: it is slowed down at once if others of its image on the worker are.
-void onRunConfirmed(scheduler_state &state, worker_record &worker, const task_name &name,
+void onRunConfirmed(scheduler_state &state, const worker_record &worker, const task_name &name,
                     task_state &task);
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -90,6 +90,7 @@
 
     interference_model
         interference; ///< Kept over changes of the owner: images behave alike everywhere.
+    std::vector<interfering_share> shares; ///< Space for those of one worker.
 
     // Dispatch.
     bool isDispatchWanted = false;
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -229,26 +229,51 @@
         worker.ends.settle(end.number);
 }
 
-// Adds one task of the step to what the worker carries, or takes it away with \p sign -1.
-void addLoad(worker_record &worker, const step_spec &step, int sign)
+filling_image &addFilling(scheduler_state &state, worker_record &worker, const step_spec &step)
+{
+    const auto [found, isNew] = worker.filling.try_emplace(step.image);
+    if (isNew)
+        found->second.image = state.interference.indexOfFilling(step.image);
+    ++found->second.tasks;
+    found->second.wantedMilliCores += step.size.milliCores;
+    worker.fillingMilliCores += step.size.milliCores;
+    return found->second;
+}
+
+void removeFilling(worker_record &worker, const step_spec &step)
+{
+    const auto found = worker.filling.find(step.image);
+    worker.fillingMilliCores -= step.size.milliCores;
+    found->second.wantedMilliCores -= step.size.milliCores;
+    if (--found->second.tasks == 0)
+        worker.filling.erase(found);
+}
+
+serving_image &addServing(scheduler_state &state, worker_record &worker, const step_spec &step)
+{
+    const auto [found, isNew] = worker.serving.try_emplace(step.image);
+    if (isNew)
+        found->second.image = state.interference.indexOfServing(step.image);
+    ++found->second.tasks;
+    worker.servingMilliCores += step.size.milliCores;
+    return found->second;
+}
+
+void removeServing(worker_record &worker, const step_spec &step)
+{
+    const auto found = worker.serving.find(step.image);
+    worker.servingMilliCores -= step.size.milliCores;
+    if (--found->second.tasks == 0)
+        worker.serving.erase(found);
+}
+
+// Returns what one task of the step takes of a worker's room.
+resources reservedBy(const step_spec &step)
 {
     resources reserved = step.size;
-    if (step.fillsIdleRoom) {
+    if (step.fillsIdleRoom)
         reserved.milliCores = 0;
-        worker.fillingMilliCores += sign * step.size.milliCores;
-        filling_image &image = worker.filling[step.image];
-        image.wantedMilliCores += sign * step.size.milliCores;
-        if (image.wantedMilliCores == 0)
-            worker.filling.erase(step.image);
-    }
-    if (step.latencyTargetMs > 0) {
-        worker.servingMilliCores += sign * step.size.milliCores;
-        serving_image &image = worker.serving[step.image];
-        image.tasks += sign;
-        if (image.tasks == 0)
-            worker.serving.erase(step.image);
-    }
-    worker.committed = sign > 0 ? worker.committed + reserved : worker.committed - reserved;
+    return reserved;
 }
 
 const char *toWord(end_reason reason)
@@ -364,23 +389,34 @@
 void bindRun(scheduler_state &state, worker_record &worker, const task_name &name, task_state &task,
              int run)
 {
-    const step_spec &step = specOf(*state.findJob(name.job), name);
+    job_record &job = *state.findJob(name.job);
+    const step_spec &step = specOf(job, name);
     task.worker = worker.info.id;
     task.lastRun = std::max(task.lastRun, run);
     task.pacePercent = 100;
     task.isStopAnswered = false;
-    worker.runs[name] = run;
-    addLoad(worker, step, 1);
+    bound_run &bound = worker.runs[name];
+    bound = {run, &job, &step, &task};
+    if (step.fillsIdleRoom)
+        bound.filling = &addFilling(state, worker, step);
+    if (step.latencyTargetMs > 0)
+        bound.serving = &addServing(state, worker, step);
+    worker.committed = worker.committed + reservedBy(step);
     updateBudgets(state, worker);
 }
 
 void unbindRun(scheduler_state &state, const task_name &name, task_state &task)
 {
     worker_record &worker = *state.findWorker(task.worker);
-    const step_spec &step = specOf(*state.findJob(name.job), name);
-    addLoad(worker, step, -1);
+    const auto bound = worker.runs.find(name);
+    const step_spec &step = *bound->second.step;
+    worker.runs.erase(bound);
+    if (step.fillsIdleRoom)
+        removeFilling(worker, step);
+    if (step.latencyTargetMs > 0)
+        removeServing(worker, step);
+    worker.committed = worker.committed - reservedBy(step);
     updateBudgets(state, worker);
-    worker.runs.erase(name);
     task.worker = worker_id();
     state.isDispatchWanted = true;
 }
@@ -429,9 +465,9 @@
     state.ports.log("runs_lost",
                     fmt::format("worker={} runs={} reason={}", worker.info.id.value,
                                 worker.runs.size(), reason));
-    const auto runs = worker.runs;
-    for (const auto &[name, run] : runs) {
-        task_state &task = *state.findTask(name);
+    while (!worker.runs.empty()) {
+        const task_name name = worker.runs.begin()->first;
+        task_state &task = *worker.runs.begin()->second.task;
         unbindRun(state, name, task);
         requeue(state, name, task);
         ++state.counters.runsLost;
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -144,6 +144,8 @@
 /// The runs of one image in a worker's idle room.
 struct filling_image
 {
+    int image = 0; ///< Index in the interference model.
+    int tasks = 0;
     std::int64_t wantedMilliCores = 0; ///< What they would use at full pace.
     double usedShare = 0; ///< Of the worker's processors, as last reported.
     int pacePercent = 100;
@@ -153,6 +155,7 @@
 /// The runs of one image on a worker that have a latency target.
 struct serving_image
 {
+    int image = 0; ///< Index in the interference model.
     int tasks = 0;
     int working = 0; ///< Those that have started up, as last reported.
     double latencyRatio = 0; ///< Highest tail latency against its target, as last reported.
@@ -170,6 +173,22 @@
     double headroom = 1; ///< Utilisation that may be added.
 };
 
+struct job_record;
+struct task_state;
+
+/// A run that may exist on a worker. What it points at exists as long as the run is bound: a job
+/// keeps its tasks while they may run, and a worker the images of its runs.
+struct bound_run
+{
+    int run = 0; ///< Its number.
+    job_record *job = nullptr;
+    const step_spec *step = nullptr;
+    task_state *task = nullptr;
+    filling_image *filling = nullptr; ///< Null if the step does not fill idle room.
+    serving_image *serving = nullptr; ///< Null if the step has no latency target.
+    std::uint64_t shownPoll = 0; ///< The last poll whose report had it.
+};
+
 /// One worker.
 struct worker_record
 {
@@ -184,7 +203,7 @@
     std::int64_t bornUnixMs = 0; ///< As reported; 0 if not known.
     bool hasStrayRuns = false; ///< It may have runs that are no task's current one: room is unsure.
     std::uint64_t strayPoll = 0; ///< Only reports of later polls can show that there are none.
-    std::map<task_name, int> runs; ///< Runs that may exist there, with their numbers.
+    std::map<task_name, bound_run> runs; ///< Runs that may exist there.
     resources committed; ///< What these runs reserve.
     std::int64_t fillingMilliCores = 0; ///< What runs in idle room would like to use.
     std::map<std::string, filling_image> filling; ///< The same by image.
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -98,33 +98,45 @@
     state.ports.stop({worker.info.id, row.task, row.run, state.epoch});
 }
 
-void handleRunning(scheduler_state &state, worker_record &worker, const running_report &row)
+// Takes in a run that is not bound to the worker. Returns it if it is bound now.
+bound_run *takeInRun(scheduler_state &state, worker_record &worker, const running_report &row)
 {
     task_state *task = state.findTask(row.task);
-    if (task == nullptr) {
+    const bool isAdopted
+        = task != nullptr && task->phase == task_phase::unlocated && row.run > task->countedRun;
+    if (!isAdopted)
+        return nullptr;
+    adoptRun(state, worker, row, *task);
+    return &worker.runs.at(row.task);
+}
+
+void handleRunning(scheduler_state &state, worker_record &worker, const running_report &row,
+                   std::uint64_t poll)
+{
+    const auto found = worker.runs.find(row.task);
+    bound_run *bound = found != worker.runs.end() ? &found->second : takeInRun(state, worker, row);
+    if (bound == nullptr) {
         stopStray(state, worker, row);
         return;
     }
-    if (task->phase == task_phase::unlocated && row.run > task->countedRun)
-        adoptRun(state, worker, row, *task);
-    const bool isCurrent = task->worker == worker.info.id && task->lastRun == row.run;
-    if (!isCurrent) {
+    bound->shownPoll = poll;
+    task_state &task = *bound->task;
+    if (task.lastRun != row.run) {
         stopStray(state, worker, row);
         return;
     }
-    if (task->phase == task_phase::starting || task->phase == task_phase::uncertain)
-        task->phase = task_phase::running;
+    if (task.phase == task_phase::starting || task.phase == task_phase::uncertain)
+        task.phase = task_phase::running;
     if (!row.saved.empty())
-        task->saved = row.saved;
-    task->progressPercent = row.progressPercent;
-    task->figure = row.figure;
+        task.saved = row.saved;
+    task.progressPercent = row.progressPercent;
+    task.figure = row.figure;
 }
 
 // A run that a sufficiently late poll did not show does not exist.
 void handleAbsent(scheduler_state &state, worker_record &worker, const task_name &name,
-                  std::uint64_t poll)
+                  task_state &task, std::uint64_t poll)
 {
-    task_state &task = *state.findTask(name);
     if (task.phase == task_phase::starting || poll <= task.settledPoll)
         return;
     if (task.phase == task_phase::uncertain) {
@@ -161,14 +173,13 @@
         handleEnd(state, worker, end);
     worker.hasStrayRuns = order.number <= worker.strayPoll;
     for (const running_report &row : report.running)
-        handleRunning(state, worker, row);
-    std::set<task_name> shown;
-    for (const running_report &row : report.running)
-        shown.insert(row.task);
-    const auto runs = worker.runs; // Changes in the loop.
-    for (const auto &[name, run] : runs) {
-        if (shown.count(name) == 0 && worker.runs.count(name) != 0)
-            handleAbsent(state, worker, name, order.number);
+        handleRunning(state, worker, row, order.number);
+    for (auto next = worker.runs.begin(); next != worker.runs.end();) {
+        const auto &[shownName, run] = *next++;
+        if (run.shownPoll == order.number)
+            continue;
+        const task_name name = shownName; // The run may be unbound.
+        handleAbsent(state, worker, name, *run.task, order.number);
     }
     if (!worker.isCurrent) {
         worker.isCurrent = true;
@@ -314,7 +325,7 @@
             continue;
         }
         for (const auto &[name, run] : worker.runs) {
-            task_state &task = *state.findTask(name);
+            task_state &task = *run.task;
             const bool isOverdue = task.phase == task_phase::stopping && !task.isStopAnswered
                 && task.stopAgainAt <= state.now;
             if (isOverdue)
--- a/test/correctness/scheduler_interference_test.cpp
+++ b/test/correctness/scheduler_interference_test.cpp
@@ -25,13 +25,16 @@
 {
     interference_model model;
     seeded_random random(7);
-    double load = model.usualLoad("serving");
+    const int serving = model.indexOfServing("serving");
+    const int heavy = model.indexOfFilling("heavy");
+    const int light = model.indexOfFilling("light");
+    double load = model.usualLoad(serving);
     for (int i = 0; i < 600; ++i) {
         const double ownLoad = 0.25 + 0.3 * random.fraction();
         const std::vector<interfering_share> shares
-            = {{"heavy", 0.1 * random.fraction()}, {"light", 0.4 * random.fraction()}};
+            = {{heavy, 0.1 * random.fraction()}, {light, 0.4 * random.fraction()}};
         const double utilisation = ownLoad + 4 * shares[0].share + 0.1 * shares[1].share;
-        load = model.observe("serving", ratioAt(utilisation), load, shares);
+        load = model.observe(serving, ratioAt(utilisation), load, shares);
     }
     EXPECT_GT(model.coefficient("heavy", "serving"), 2);
     EXPECT_LT(model.coefficient("light", "serving"), 0.5);
@@ -40,7 +43,7 @@
 TEST(InterferenceModel, SurvivesWritingAndReading)
 {
     interference_model model;
-    model.observe("serving", 3, 0.4, {{"heavy", 0.2}});
+    model.observe(model.indexOfServing("serving"), 3, 0.4, {{model.indexOfFilling("heavy"), 0.2}});
     interference_model copy;
     copy.decode(model.encode());
     EXPECT_NEAR(copy.coefficient("heavy", "serving"), model.coefficient("heavy", "serving"), 0.001);
@@ -244,3 +247,20 @@
     world.run(500ms);
     EXPECT_EQ(world.workers.at({"w0"}).runs.count({{"f"}, 0, 0, 0}), 1U);
 }
+
+// The owner ended by an exception when a task without processors was confirmed.
+TEST(SchedulerInterference, WorkInIdleRoomMayAskForNoProcessors)
+{
+    scheduler_world world;
+    fake_owner &owner = world.addOwner("host-1");
+    world.addWorker("w0", "rack-1", {10000, 64000, 0});
+    world.takeOver(owner);
+    world.run(200ms);
+    job_spec job = plainJob("f", 2);
+    job.steps[0].fillsIdleRoom = true;
+    job.steps[0].size.milliCores = 0;
+    owner.call(job_call_kind::submit, job.name, &job);
+    world.run(4s);
+    const call_token token = owner.call(job_call_kind::query, job.name);
+    EXPECT_EQ(owner.replies.at(token).status, job_status::completed);
+}
--- a/test/performance/scheduler_report_benchmark.cpp
+++ b/test/performance/scheduler_report_benchmark.cpp
@@ -1,7 +1,7 @@
 // Measures what the report of a worker costs the owner: workers with serving tasks of several
 // images and work of several others in idle room, with figures that change. Prints figures; asserts
-// nothing. Instructions of a report: valgrind --tool=callgrind --toggle-collect=replayReports
-// scheduler_report_benchmark 490 2, divided by the printed number of reports.
+// nothing. Instructions of a report: the difference between two numbers of rounds under
+// valgrind --tool=callgrind, divided by the difference of the printed numbers of reports.
 // Usage: scheduler_report_benchmark [WORKERS] [ROUNDS]
 
 #include "correctness/scheduler_report_fleet.h"
@@ -18,7 +18,16 @@
 /// Latencies that a worker reports one after the other, against a target of 100 ms.
 constexpr std::int64_t latenciesMs[] = {45, 60, 85, 105, 70, 50};
 
-using kept_report = std::pair<poll_order, poll_result>;
+/// One worker of this many is over its target all the time, so that its work in idle room is held
+/// back.
+constexpr int workersForSlowOne = 10;
+constexpr std::int64_t slowLatencyMs = 140;
+
+/// At 1,500 reports a second.
+constexpr duration reportDistance = 667us;
+
+/// Reports of all workers.
+using report_round = std::vector<poll_result>;
 
 void fillUp(report_fleet &fleet, int workers)
 {
@@ -31,57 +40,54 @@
     fleet.placeAll();
 }
 
-// Lets the workers report in turn, as many as at 1,500 reports a second.
-std::size_t makeReports(report_fleet &fleet, int round, std::vector<kept_report> &reports)
+report_round makeRound(report_fleet &fleet, std::int64_t latencyMs)
 {
-    std::size_t rows = 0;
-    reports.clear();
-    std::size_t number = std::size_t(round);
+    report_round round;
+    int number = 0;
     for (const worker_id &worker : fleet.ids) {
-        const std::int64_t latencyMs = latenciesMs[number++ % std::size(latenciesMs)];
-        reports.push_back(fleet.reportOf(worker, latencyMs));
-        rows += reports.back().second.report.running.size();
+        const bool isSlow = ++number % workersForSlowOne == 0;
+        round.push_back(fleet.reportOf(worker, isSlow ? slowLatencyMs : latencyMs).second);
     }
-    return rows;
+    return round;
 }
 
-} // namespace
-
-// Named plainly, so that a profiler can be told to look at it alone.
-extern "C" __attribute__((noinline)) void replayReports(report_fleet &fleet,
-                                                        const std::vector<kept_report> &reports)
+void replay(report_fleet &fleet, report_round &round)
 {
-    for (const auto &[order, result] : reports) {
-        fleet.now += 667us;
-        fleet.core.onPollResult(fleet.now, order, result);
+    for (std::size_t worker = 0; worker < round.size(); ++worker) {
+        fleet.now += reportDistance;
+        round[worker].report.clockMs = fleet.clockMs();
+        const poll_order order = fleet.ports.polls.at(fleet.ids[worker]);
+        fleet.core.onPollResult(fleet.now, order, round[worker]);
     }
+    fleet.core.tick(fleet.now, fleet.clockMs());
+    fleet.now += 50ms;
+    fleet.core.tick(fleet.now, fleet.clockMs());
 }
 
+} // namespace
+
 int main(int argc, char **argv)
 {
     const int workers = argc > 1 ? std::atoi(argv[1]) : 490;
     const int rounds = argc > 2 ? std::atoi(argv[2]) : 40;
     report_fleet fleet(workers);
     fillUp(fleet, workers);
+    std::vector<report_round> prepared;
+    for (const std::int64_t latencyMs : latenciesMs)
+        prepared.push_back(makeRound(fleet, latencyMs));
     std::size_t rows = 0;
-    std::size_t count = 0;
-    double us = 0;
-    std::vector<kept_report> reports;
+    for (const poll_result &result : prepared[0])
+        rows += result.report.running.size();
     const int pacesBefore = fleet.ports.paces;
-    for (int round = 0; round < rounds; ++round) {
-        rows += makeReports(fleet, round, reports);
-        count += reports.size();
-        const auto begin = std::chrono::steady_clock::now();
-        replayReports(fleet, reports);
-        us += std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin)
-                  .count();
-        fleet.core.tick(fleet.now, fleet.clockMs());
-        fleet.now += 50ms;
-        fleet.core.tick(fleet.now, fleet.clockMs());
-    }
+    const auto begin = std::chrono::steady_clock::now();
+    for (int round = 0; round < rounds; ++round)
+        replay(fleet, prepared[std::size_t(round) % prepared.size()]);
+    const double us
+        = std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin)
+              .count();
     fmt::print("{} workers: {} reports of {:.1f} runs, {:.2f} us a report, {} paces, {} stops, {} "
                "tasks waiting, digest of all orders and lines {:016x}\n",
-               workers, count, double(rows) / double(count), us / double(count),
+               workers, workers * rounds, double(rows) / workers, us / (workers * rounds),
                fleet.ports.paces - pacesBefore, fleet.ports.stops,
                fleet.core.counters().tasksWaiting, fleet.ports.digest);
     return 0;
