--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -230,26 +230,51 @@
         settleWhenDurable(state, end.task.job, pending);
 }
 
-// Adds one task of the step to what the worker carries, or takes it away with \p sign -1.
-void addLoad(worker_record &worker, const step_spec &step, int sign)
+filling_image &addFilling(scheduler_state &state, worker_record &worker, const step_spec &step)
+{
+    const auto [found, isNew] = worker.filling.try_emplace(step.image);
+    if (isNew)
+        found->second.image = state.interference.indexOfFilling(step.image);
+    ++found->second.tasks;
+    found->second.wantedMilliCores += step.size.milliCores;
+    worker.fillingMilliCores += step.size.milliCores;
+    return found->second;
+}
+
+void removeFilling(worker_record &worker, const step_spec &step)
+{
+    const auto found = worker.filling.find(step.image);
+    worker.fillingMilliCores -= step.size.milliCores;
+    found->second.wantedMilliCores -= step.size.milliCores;
+    if (--found->second.tasks == 0)
+        worker.filling.erase(found);
+}
+
+serving_image &addServing(scheduler_state &state, worker_record &worker, const step_spec &step)
+{
+    const auto [found, isNew] = worker.serving.try_emplace(step.image);
+    if (isNew)
+        found->second.image = state.interference.indexOfServing(step.image);
+    ++found->second.tasks;
+    worker.servingMilliCores += step.size.milliCores;
+    return found->second;
+}
+
+void removeServing(worker_record &worker, const step_spec &step)
+{
+    const auto found = worker.serving.find(step.image);
+    worker.servingMilliCores -= step.size.milliCores;
+    if (--found->second.tasks == 0)
+        worker.serving.erase(found);
+}
+
+// Returns what one task of the step takes of a worker's room.
+resources reservedBy(const step_spec &step)
 {
     resources reserved = step.size;
-    if (step.fillsIdleRoom) {
+    if (step.fillsIdleRoom)
         reserved.milliCores = 0;
-        worker.fillingMilliCores += sign * step.size.milliCores;
-        filling_image &image = worker.filling[step.image];
-        image.wantedMilliCores += sign * step.size.milliCores;
-        if (image.wantedMilliCores == 0)
-            worker.filling.erase(step.image);
-    }
-    if (step.latencyTargetMs > 0) {
-        worker.servingMilliCores += sign * step.size.milliCores;
-        serving_image &image = worker.serving[step.image];
-        image.tasks += sign;
-        if (image.tasks == 0)
-            worker.serving.erase(step.image);
-    }
-    worker.committed = sign > 0 ? worker.committed + reserved : worker.committed - reserved;
+    return reserved;
 }
 
 const char *toWord(end_reason reason)
@@ -381,15 +406,21 @@
 void bindRun(scheduler_state &state, worker_record &worker, const task_name &name, task_state &task,
              int run)
 {
-    const step_spec &step = specOf(*state.findJob(name.job), name);
+    job_record &job = *state.findJob(name.job);
+    const step_spec &step = specOf(job, name);
     task.worker = worker.info.id;
     task.lastRun = std::max(task.lastRun, run);
     task.pacePercent = 100;
     task.settledPoll = 0;
     task.isStartAnswered = false;
     task.isStopAnswered = false;
-    worker.runs[name] = run;
-    addLoad(worker, step, 1);
+    bound_run &bound = worker.runs[name];
+    bound = {run, &job, &step, &task};
+    if (step.fillsIdleRoom)
+        bound.filling = &addFilling(state, worker, step);
+    if (step.latencyTargetMs > 0)
+        bound.serving = &addServing(state, worker, step);
+    worker.committed = worker.committed + reservedBy(step);
     updateBudgets(state, worker);
     state.noteRunsChanged(worker);
 }
@@ -397,10 +428,15 @@
 void unbindRun(scheduler_state &state, const task_name &name, task_state &task)
 {
     worker_record &worker = *state.findWorker(task.worker);
-    const step_spec &step = specOf(*state.findJob(name.job), name);
-    addLoad(worker, step, -1);
+    const auto bound = worker.runs.find(name);
+    const step_spec &step = *bound->second.step;
+    worker.runs.erase(bound);
+    if (step.fillsIdleRoom)
+        removeFilling(worker, step);
+    if (step.latencyTargetMs > 0)
+        removeServing(worker, step);
+    worker.committed = worker.committed - reservedBy(step);
     updateBudgets(state, worker);
-    worker.runs.erase(name);
     state.noteRunsChanged(worker);
     task.worker = worker_id();
     state.isDispatchWanted = true;
@@ -447,7 +483,7 @@
 {
     std::vector<task_name> lost;
     for (const auto &[name, run] : worker.runs) {
-        if (isLost(*state.findTask(name)))
+        if (isLost(*run.task))
             lost.push_back(name);
     }
     if (lost.empty())
@@ -456,7 +492,7 @@
         "runs_lost",
         fmt::format("worker={} runs={} reason={}", worker.info.id.value, lost.size(), reason));
     for (const task_name &name : lost) {
-        task_state &task = *state.findTask(name);
+        task_state &task = *worker.runs.at(name).task;
         unbindRun(state, name, task);
         requeue(state, name, task);
         ++state.counters.runsLost;
