--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -195,7 +195,8 @@
     if (worker == nullptr || worker->bornUnixMs != end.bornUnixMs)
         return;
     worker->ends.settle(end.number);
-    state.noteRunsChanged(*worker);
+    if (worker->runs.empty() && !worker->ends.hasUnsettled())
+        state.noteRunsChanged(*worker);
     if (!worker->ends.hasUnsettled())
         state.bringPollForward(*worker, state.now);
 }
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -18,7 +18,7 @@
 /// Workers that have left and run nothing are forgotten this often.
 constexpr duration pruneInterval = 100ms;
 
-/// Tasks end on a leaving worker many times a second; each of them is not worth a record.
+/// Lasting tasks leave a draining worker one after the other; several share a record.
 constexpr duration leavingRecordInterval = 1s;
 
 } // namespace
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -401,7 +401,9 @@
     addLoad(worker, step, -1);
     updateBudgets(state, worker);
     worker.runs.erase(name);
-    state.noteRunsChanged(worker);
+    // A task that is done is held back by no record.
+    if (step.isLasting || worker.runs.empty())
+        state.noteRunsChanged(worker);
     task.worker = worker_id();
     state.isDispatchWanted = true;
 }
