--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -437,7 +437,9 @@
         removeServing(worker, step);
     worker.committed = worker.committed - reservedBy(step);
     updateBudgets(state, worker);
-    state.noteRunsChanged(worker);
+    // A task that is done is held back by no record.
+    if (step.isLasting || worker.runs.empty())
+        state.noteRunsChanged(worker);
     task.worker = worker_id();
     state.isDispatchWanted = true;
 }
