Write names of images so that they read back

Callers choose the names of images. An empty name, or one with blanks, shifted the words of its line in the record of what was learned about interference: a new owner stopped reading there and lost all that follows. Names that are no single word are now quoted; other records stay as they were, and records of earlier versions read as before.

InterferenceModel.AnyNameOfAnImageSurvives failed first.

--- a/packages/scheduler/interference_model.cpp
+++ b/packages/scheduler/interference_model.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iomanip>
 #include <sstream>
 
 namespace crocuswind::scheduler {
@@ -38,6 +39,18 @@
 /// Keeps tiny shares from taking the whole blame.
 constexpr double shareRegularisation = 0.01;
 
+// Names are chosen by callers: those that do not read back as one word are quoted.
+std::string toWord(const std::string &name)
+{
+    const bool isWord = !name.empty() && name.front() != '"'
+        && std::none_of(name.begin(), name.end(), [](unsigned char c) { return c <= ' '; });
+    if (isWord)
+        return name;
+    std::ostringstream word;
+    word << std::quoted(name);
+    return word.str();
+}
+
 } // namespace
 
 double interference_model::unloadedRatio(const std::string &serving) const
@@ -122,7 +135,7 @@
 {
     std::string text;
     for (const auto &[pair, coefficient] : m_coefficients)
-        text += fmt::format("{} {} {:.3f}\n", pair.first, pair.second, coefficient);
+        text += fmt::format("{} {} {:.3f}\n", toWord(pair.first), toWord(pair.second), coefficient);
     return text;
 }
 
@@ -132,7 +145,7 @@
     std::string filling;
     std::string serving;
     double coefficient = 0;
-    while (lines >> filling >> serving >> coefficient) {
+    while (lines >> std::quoted(filling) >> std::quoted(serving) >> coefficient) {
         m_coefficients[{filling, serving}] = std::clamp(coefficient, 0.0, maxCoefficient);
         m_fillingImages.insert(filling);
     }
--- a/test/correctness/scheduler_interference_test.cpp
+++ b/test/correctness/scheduler_interference_test.cpp
@@ -48,6 +48,26 @@
     EXPECT_NEAR(copy.coefficient("heavy", "serving"), model.coefficient("heavy", "serving"), 0.001);
 }
 
+// Callers choose the names of images. One that is empty or has blanks broke the record off at its
+// place, and a later owner learned nothing of those that follow.
+TEST(InterferenceModel, AnyNameOfAnImageSurvives)
+{
+    const std::string names[] = {"", " ", "a b", "a\nb 1 2\n", "\"", "\\", "zz"};
+    interference_model model;
+    for (const std::string &filling : names) {
+        for (const std::string &serving : names)
+            model.observe(serving, 3, 0.4, {{filling, 0.2}});
+    }
+    interference_model copy;
+    copy.decode(model.encode());
+    for (const std::string &filling : names) {
+        for (const std::string &serving : names)
+            EXPECT_NEAR(copy.coefficient(filling, serving), model.coefficient(filling, serving),
+                        0.001)
+                << filling << "|" << serving;
+    }
+}
+
 namespace {
 
 /// Serving tasks on the first workers of six, and a flood of harmful work in idle room.
