--- a/packages/scheduler/interference_model.cpp
+++ b/packages/scheduler/interference_model.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iomanip>
 #include <sstream>
 
 namespace crocuswind::scheduler {
@@ -38,6 +39,18 @@
 /// Keeps tiny shares from taking the whole blame.
 constexpr double shareRegularisation = 0.01;
 
+// Names are chosen by callers: those that do not read back as one word are quoted.
+std::string toWord(const std::string &name)
+{
+    const bool isWord = !name.empty() && name.front() != '"'
+        && std::none_of(name.begin(), name.end(), [](unsigned char c) { return c <= ' '; });
+    if (isWord)
+        return name;
+    std::ostringstream word;
+    word << std::quoted(name);
+    return word.str();
+}
+
 } // namespace
 
 int interference_model::indexOfServing(const std::string &image)
@@ -156,7 +169,8 @@
         for (const auto &[serving, servingIndex] : m_servingIndexes) {
             const auto index = std::size_t(servingIndex);
             if (index < beside.size() && beside[index].isKnown)
-                text += fmt::format("{} {} {:.3f}\n", filling, serving, beside[index].coefficient);
+                text += fmt::format("{} {} {:.3f}\n", toWord(filling), toWord(serving),
+                                    beside[index].coefficient);
         }
     }
     return text;
@@ -168,7 +182,7 @@
     std::string filling;
     std::string serving;
     double coefficient = 0;
-    while (lines >> filling >> serving >> coefficient)
+    while (lines >> std::quoted(filling) >> std::quoted(serving) >> coefficient)
         knownCoefficient(indexOfFilling(filling), indexOfServing(serving))
             = std::clamp(coefficient, 0.0, maxCoefficient);
 }
