Do not format log lines that a full log drops

The log output is asked for room before a line is formatted, and counts a line that it refuses. The scheduler asks through its ports (wantsDetail) before it makes the text of a line on a single task. event=lines_dropped counts as before.

log_pipe.DoesNotFormatLinesThatItDrops: with a logger that does not ask, 50 lines are formatted for 5 that are written; now 5. report_cost. LinesWithoutRoomAreNotMade covers the scheduler's side.

--- a/packages/io/log_output.cpp
+++ b/packages/io/log_output.cpp
@@ -23,7 +23,8 @@
 {
     const int flags = fcntl(m_settings.descriptor, F_GETFL);
     fcntl(m_settings.descriptor, F_SETFL, flags | O_NONBLOCK);
-    setLogSink([this](log_level level, std::string_view line) { add(level, line); });
+    setLogSink([this](log_level level, std::string_view line) { add(level, line); },
+               [this](log_level level) { return admit(level); });
 }
 
 log_output::~log_output()
@@ -33,7 +34,7 @@
     flush();
 }
 
-bool log_output::takeToken(log_level level)
+bool log_output::hasToken(log_level level)
 {
     const instant now = m_loop.now();
     const double seconds = double((now - m_tokensAt).count()) / 1e6;
@@ -41,18 +42,24 @@
     m_tokens = std::min(m_settings.burstLines, m_tokens + seconds * m_settings.linesPerSecond);
     const double reserve
         = level < log_level::info ? m_settings.detailReserve * m_settings.burstLines : 0;
-    if (m_tokens < 1 + reserve && level < log_level::warning)
-        return false;
-    m_tokens -= 1;
-    return true;
+    return m_tokens >= 1 + reserve || level >= log_level::warning;
 }
 
-void log_output::add(log_level level, std::string_view line)
+bool log_output::admit(log_level level)
 {
-    if (m_buffer.size() + line.size() > m_settings.maxBufferedBytes || !takeToken(level)) {
+    const bool hasRoom = m_buffer.size() < m_settings.maxBufferedBytes && hasToken(level);
+    m_dropped += hasRoom ? 0 : 1;
+    return hasRoom;
+}
+
+// Gets lines that were admitted.
+void log_output::add(log_level, std::string_view line)
+{
+    if (m_buffer.size() + line.size() > m_settings.maxBufferedBytes) {
         ++m_dropped;
         return;
     }
+    m_tokens -= 1;
     if (m_dropped != m_droppedReported) {
         m_droppedReported = m_dropped;
         append(fmt::format("warning log: event=lines_dropped total={}", m_dropped));
--- a/packages/io/log_output.h
+++ b/packages/io/log_output.h
@@ -24,7 +24,7 @@
 };
 
 /// Takes over the process's log for its lifetime. Each line begins with the Unix time in seconds.
-/// Dropped lines are counted, and the count is written once there is room.
+/// Dropped lines are counted and not formatted, and the count is written once there is room.
 class log_output
 {
 public:
@@ -39,10 +39,11 @@
     std::uint64_t droppedLines() const { return m_dropped; }
 
 private:
+    bool admit(log_level level);
     void add(log_level level, std::string_view line);
     void append(std::string_view line);
     void flush();
-    bool takeToken(log_level level);
+    bool hasToken(log_level level);
     void scheduleFlush();
 
     event_loop &m_loop;
--- a/packages/io/logger.cpp
+++ b/packages/io/logger.cpp
@@ -11,6 +11,7 @@
 {
     log_level lowest = log_level::detail;
     std::function<void(log_level, std::string_view)> sink;
+    std::function<bool(log_level)> hasRoom;
 };
 
 log_output &output()
@@ -43,18 +44,27 @@
     output().lowest = lowest;
 }
 
-void setLogSink(std::function<void(log_level level, std::string_view line)> sink)
+void setLogSink(std::function<void(log_level level, std::string_view line)> sink,
+                std::function<bool(log_level level)> hasRoom)
 {
     output().sink = std::move(sink);
+    output().hasRoom = std::move(hasRoom);
 }
 
 logger::logger(std::string component)
     : m_component(std::move(component))
 { }
 
-void logger::write(log_level level, fmt::string_view format, fmt::format_args values) const
+bool logger::wants(log_level level) const
 {
     if (level < output().lowest)
+        return false;
+    return !output().hasRoom || output().hasRoom(level);
+}
+
+void logger::write(log_level level, fmt::string_view format, fmt::format_args values) const
+{
+    if (!wants(level))
         return;
     std::string line = fmt::format("{} {}: ", levelName(level), m_component);
     line += fmt::vformat(format, values);
--- a/packages/io/logger.h
+++ b/packages/io/logger.h
@@ -17,7 +17,9 @@
 void setLogLevel(log_level lowest);
 
 /// Sends lines to \p sink instead of standard error; an empty function restores standard error.
-void setLogSink(std::function<void(log_level level, std::string_view line)> sink);
+/// \p hasRoom is asked before a line is formatted; a line that it refuses is not written.
+void setLogSink(std::function<void(log_level level, std::string_view line)> sink,
+                std::function<bool(log_level level)> hasRoom = {});
 
 /// Writes the lines of one component as `<level> <component>: <text>`. Control characters in the
 /// text are written as `?`, so that one call is one line.
@@ -26,6 +28,10 @@
 public:
     explicit logger(std::string component);
 
+    /// Returns true if a line of the level would be written now. A caller that gets no for an
+    /// answer leaves its line out, which then counts as refused.
+    bool wants(log_level level) const;
+
     template <class... values>
     void debug(fmt::format_string<values...> format, values &&...v) const
     {
--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -186,6 +186,8 @@
         schedulerLog.info("event={} {}", event, fields);
     }
 
+    bool wantsDetail() override { return schedulerLog.wants(log_level::detail); }
+
     void logDetail(const std::string &event, const std::string &fields) override
     {
         schedulerLog.detail("event={} {}", event, fields);
--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -244,12 +244,13 @@
         order.saved = task.saved;
         order.leaseUntilMs = worker.lease.grantUntil(*leaseEnd(m_state), m_state.now);
         order.epoch = m_state.epoch;
-        m_state.ports.logDetail(
-            "start",
-            fmt::format("job={} task={} run={} worker={} free_millicores={} filling_millicores={} "
-                        "resumes={}",
-                        name.job.value, toString(name), order.run, worker.info.id.value,
-                        worker.room().milliCores, worker.fillingMilliCores, !order.saved.empty()));
+        m_state.logDetail("start", [&] {
+            return fmt::format(
+                "job={} task={} run={} worker={} free_millicores={} filling_millicores={} "
+                "resumes={}",
+                name.job.value, toString(name), order.run, worker.info.id.value,
+                worker.room().milliCores, worker.fillingMilliCores, !order.saved.empty());
+        });
         m_state.ports.start(order);
     }
 
--- a/packages/scheduler/evacuation.cpp
+++ b/packages/scheduler/evacuation.cpp
@@ -13,6 +13,14 @@
 /// Tasks that are away at once from one worker, so that each finds its place before the next stops.
 constexpr int maxMovesUnderWay = 4;
 
+void logEvacuation(scheduler_state &state, const worker_record &worker, const task_name &name)
+{
+    state.logDetail("evacuate", [&] {
+        return fmt::format("job={} task={} from={}", name.job.value, toString(name),
+                           worker.info.id.value);
+    });
+}
+
 } // namespace
 
 void evacuateWorker(scheduler_state &state, worker_record &worker)
@@ -30,9 +38,7 @@
             continue;
         if (chooseWorker(state, {&step, job.policy.service, nullptr, rack_id(), 1}) == nullptr)
             continue;
-        state.ports.logDetail("evacuate",
-                              fmt::format("job={} task={} from={}", name.job.value, toString(name),
-                                          worker.info.id.value));
+        logEvacuation(state, worker, name);
         sendStop(state, name, task);
         ++underWay;
     }
--- a/packages/scheduler/job_intake.cpp
+++ b/packages/scheduler/job_intake.cpp
@@ -52,10 +52,11 @@
     job->number = ++state.lastJobNumber;
     job->chainsMs = chainsFromMs(job->spec);
     ++state.counters.accepted;
-    state.ports.logDetail("job_accepted",
-                          fmt::format("job={} queue={} steps={} chain_ms={}", call.name.value,
-                                      call.queue.value, job->spec.steps.size(),
-                                      job->chainsMs.empty() ? 0 : job->chainsMs.front()));
+    state.logDetail("job_accepted", [&] {
+        return fmt::format("job={} queue={} steps={} chain_ms={}", call.name.value,
+                           call.queue.value, job->spec.steps.size(),
+                           job->chainsMs.empty() ? 0 : job->chainsMs.front());
+    });
     markDirty(state, *job).submissions.push_back(call.token);
     state.nextCommitAt = state.now;
     state.jobs[call.name] = std::move(job);
@@ -131,7 +132,7 @@
         job->finishedUnixMs = state.unixOffsetMs
             + std::chrono::duration_cast<std::chrono::milliseconds>(state.now.time_since_epoch())
                   .count();
-        state.ports.logDetail("job_cancelled", fmt::format("job={}", call.name.value));
+        state.logDetail("job_cancelled", [&] { return fmt::format("job={}", call.name.value); });
         dropTasks(state, *job);
     }
     markDirty(state, *job).cancellations.push_back(call.token);
--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -141,11 +141,11 @@
 {
     if (filling.pacePercent == percent)
         return;
-    state.ports.logDetail(
-        "pace",
-        fmt::format("worker={} image={} from={} to={} used_share={:.2f} pressure={:.2f}",
-                    worker.info.id.value, image, filling.pacePercent, percent, filling.usedShare,
-                    fillPressure(worker)));
+    state.logDetail("pace", [&] {
+        return fmt::format("worker={} image={} from={} to={} used_share={:.2f} pressure={:.2f}",
+                           worker.info.id.value, image, filling.pacePercent, percent,
+                           filling.usedShare, fillPressure(worker));
+    });
     if (filling.pacePercent > slowPacePercent && percent <= slowPacePercent)
         filling.slowSince = state.now;
     filling.pacePercent = percent;
@@ -163,6 +163,16 @@
     return filling.pacePercent <= slowPacePercent && state.now - filling.slowSince >= slowLimit;
 }
 
+void logMove(scheduler_state &state, const worker_record &worker, const task_name &name,
+             const bound_run &run)
+{
+    state.logDetail("move", [&] {
+        return fmt::format("job={} task={} from={} pace={} progress={}", name.job.value,
+                           toString(name), worker.info.id.value, run.filling->pacePercent,
+                           run.task->progressPercent);
+    });
+}
+
 // Stops runs that are held back here and can go on elsewhere. They resume from their checkpoint.
 void moveSlowRuns(scheduler_state &state, worker_record &worker)
 {
@@ -185,10 +195,7 @@
             = chooseWorker(state, {run.step, service, nullptr, rack_id(), 1});
         if (target == nullptr || target == &worker)
             continue;
-        state.ports.logDetail("move",
-                              fmt::format("job={} task={} from={} pace={} progress={}",
-                                          name.job.value, toString(name), worker.info.id.value,
-                                          filling.pacePercent, task.progressPercent));
+        logMove(state, worker, name, run);
         sendStop(state, name, task);
         ++moves;
     }
--- a/packages/scheduler/scheduler_ports.h
+++ b/packages/scheduler/scheduler_ports.h
@@ -108,6 +108,9 @@
 
     /// Writes one structured line; \p fields are `name=value` pairs.
     virtual void log(const std::string &event, const std::string &fields) = 0;
+    /// Asked before each line of logDetail(). Returns false if there is no room for it: the line is
+    /// left out, which the answer has counted already.
+    virtual bool wantsDetail() = 0;
     /// Writes a line on a single task or order. There are hundreds a second, and they are the
     /// first to be left out.
     virtual void logDetail(const std::string &event, const std::string &fields) = 0;
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -100,6 +100,15 @@
 
     scheduler_counters counters;
 
+    /// Writes a line on a single task or order. \p makeFields returns its text and is called only
+    /// if the log has room: a full log drops most of a thousand such lines a second.
+    template <class function>
+    void logDetail(const char *event, function makeFields)
+    {
+        if (ports.wantsDetail())
+            ports.logDetail(event, makeFields());
+    }
+
     /// Sets when the worker is polled next.
     void schedulePoll(worker_record &worker, instant when);
     /// Has the worker polled at \p when at the latest.
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -77,13 +77,13 @@
 {
     job.finishedUnixMs = unixTimeMs(state);
     markDirty(state, job);
-    state.ports.logDetail(
-        "job_end",
-        fmt::format(
+    state.logDetail("job_end", [&] {
+        return fmt::format(
             "job={} outcome={} since_accept_ms={}", job.spec.name.value,
             job.isCancelled ? "cancelled" : (job.isFailed ? "failed" : "completed"),
             std::chrono::duration_cast<std::chrono::milliseconds>(state.now - job.acceptedAt)
-                .count()));
+                .count());
+    });
 }
 
 void onTaskDone(scheduler_state &state, job_record &job, const task_name &name)
@@ -445,11 +445,11 @@
         return;
     task_state *task = state.findTask(end.task);
     const bool counts = task != nullptr && isCounted(worker, *task, end);
-    state.ports.logDetail("task_end",
-                          fmt::format("job={} task={} run={} worker={} end={} reason={} counted={}",
-                                      end.task.job.value, toString(end.task), end.run,
-                                      worker.info.id.value, end.number, toWord(end.reason),
-                                      counts));
+    state.logDetail("task_end", [&] {
+        return fmt::format("job={} task={} run={} worker={} end={} reason={} counted={}",
+                           end.task.job.value, toString(end.task), end.run, worker.info.id.value,
+                           end.number, toWord(end.reason), counts);
+    });
     if (counts)
         countEnd(state, worker, *state.findJob(end.task.job), *task, end);
     else if (task != nullptr)
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -82,9 +82,10 @@
     task.runSince = state.now;
     job_record &job = *state.findJob(row.task.job);
     job.occurrences.at(row.task.occurrence).hasBegun = true;
-    state.ports.logDetail("run_adopted",
-                          fmt::format("job={} task={} run={} worker={}", job.spec.name.value,
-                                      toString(row.task), row.run, worker.info.id.value));
+    state.logDetail("run_adopted", [&] {
+        return fmt::format("job={} task={} run={} worker={}", job.spec.name.value,
+                           toString(row.task), row.run, worker.info.id.value);
+    });
 }
 
 // A run that is not the task's current one must not go on.
@@ -92,9 +93,10 @@
 {
     worker.hasStrayRuns = true;
     ++state.counters.stops;
-    state.ports.logDetail("stray_run",
-                          fmt::format("job={} task={} run={} worker={}", row.task.job.value,
-                                      toString(row.task), row.run, worker.info.id.value));
+    state.logDetail("stray_run", [&] {
+        return fmt::format("job={} task={} run={} worker={}", row.task.job.value,
+                           toString(row.task), row.run, worker.info.id.value);
+    });
     state.ports.stop({worker.info.id, row.task, row.run, state.epoch});
 }
 
@@ -148,10 +150,10 @@
     const bool wasStopped = task.phase == task_phase::stopping;
     if (!wasStopped) {
         ++state.counters.runsLost;
-        state.ports.logDetail("run_lost",
-                              fmt::format("job={} task={} run={} worker={} poll={}", name.job.value,
-                                          toString(name), task.lastRun, worker.info.id.value,
-                                          poll));
+        state.logDetail("run_lost", [&] {
+            return fmt::format("job={} task={} run={} worker={} poll={}", name.job.value,
+                               toString(name), task.lastRun, worker.info.id.value, poll);
+        });
     }
     unbindRun(state, name, task);
     requeue(state, name, task);
@@ -385,10 +387,11 @@
         worker->lease.noteClock(*result.clockMs, state.now);
     }
     if (result.outcome != order_outcome::done)
-        state.ports.logDetail("start_failed",
-                              fmt::format("job={} task={} run={} worker={} outcome={}",
-                                          order.task.job.value, toString(order.task), order.run,
-                                          order.worker.value, toWord(result.outcome)));
+        state.logDetail("start_failed", [&] {
+            return fmt::format("job={} task={} run={} worker={} outcome={}", order.task.job.value,
+                               toString(order.task), order.run, order.worker.value,
+                               toWord(result.outcome));
+        });
     // A stop that overtook the answer decides what becomes of the run.
     if (task->phase != task_phase::starting)
         return;
--- a/test/correctness/scheduler_report_cost_test.cpp
+++ b/test/correctness/scheduler_report_cost_test.cpp
@@ -64,3 +64,17 @@
     EXPECT_EQ(allocationsOfReport(5, 14), withFewRuns);
     EXPECT_LE(withFewRuns, 4U);
 }
+
+// The owner formatted a line for each start, end and pace and left it to the full log to drop it.
+TEST_F(report_cost, LinesWithoutRoomAreNotMade)
+{
+    report_fleet fleet(1);
+    fleet.ports.hasLogRoom = false;
+    fleet.serve("session-store-of-the-shop", 4);
+    fleet.fill("video-transcoder-for-uploads", 8);
+    fleet.placeAll();
+    const auto [order, result] = fleet.reportOf(fleet.ids[0], 4 * report_fleet::usualLatencyMs);
+    fleet.core.onPollResult(fleet.now, order, result);
+    EXPECT_GT(fleet.ports.paces, 0);
+    EXPECT_EQ(fleet.ports.details, 0);
+}
--- a/test/correctness/scheduler_report_fleet.h
+++ b/test/correctness/scheduler_report_fleet.h
@@ -45,6 +45,7 @@
     }
     void answer(const job_reply &) override { }
     void log(const std::string &event, const std::string &fields) override { note(event + fields); }
+    bool wantsDetail() override { return hasLogRoom; }
     void logDetail(const std::string &event, const std::string &fields) override
     {
         ++details;
@@ -57,6 +58,7 @@
     int stops = 0;
     int paces = 0;
     int details = 0;
+    bool hasLogRoom = true;
     bool isDigesting = true;
     std::uint64_t digest = 0;
 
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -66,6 +66,7 @@
     void commit(commit_batch batch) override;
     void answer(const job_reply &reply) override { replies[reply.token] = reply; }
     void log(const std::string &event, const std::string &fields) override;
+    bool wantsDetail() override { return true; }
     void logDetail(const std::string &event, const std::string &fields) override;
 
     /// Sends a call; the answer appears in `replies`.
--- a/test/failure/io_log_output_test.cpp
+++ b/test/failure/io_log_output_test.cpp
@@ -42,8 +42,24 @@
     log_output_settings settings;
 };
 
+/// Counts how often it is formatted.
+struct counted_value
+{
+    int *formatted;
+};
+
 } // namespace
 
+template <>
+struct fmt::formatter<counted_value> : fmt::formatter<int>
+{
+    template <class context>
+    auto format(const counted_value &value, context &c) const
+    {
+        return fmt::formatter<int>::format(++*value.formatted, c);
+    }
+};
+
 TEST_F(log_pipe, GoesOnWhenNobodyReads)
 {
     settings.burstLines = 1e6;
@@ -96,3 +112,22 @@
     EXPECT_EQ(text.find("event=start task=5"), std::string::npos);
     EXPECT_NE(text.find("info part: event=deposed epoch=4"), std::string::npos);
 }
+
+// A process short of processor time formatted a thousand lines a second that a full log then
+// dropped.
+TEST_F(log_pipe, DoesNotFormatLinesThatItDrops)
+{
+    settings.burstLines = 10;
+    settings.linesPerSecond = 0;
+    int formatted = 0;
+    {
+        log_output output(loop, settings);
+        const logger log("part");
+        for (int i = 0; i < 50; ++i)
+            log.detail("event=start task={}", counted_value{&formatted});
+        EXPECT_EQ(formatted, 5);
+        EXPECT_EQ(output.droppedLines(), 45u);
+        log.warning("event=trouble");
+    }
+    EXPECT_NE(readAll(ends[0]).find("event=lines_dropped total=45"), std::string::npos);
+}
--- a/test/performance/scheduler_decision_benchmark.cpp
+++ b/test/performance/scheduler_decision_benchmark.cpp
@@ -36,6 +36,7 @@
     }
     void answer(const job_reply &) override { }
     void log(const std::string &, const std::string &) override { }
+    bool wantsDetail() override { return true; }
     void logDetail(const std::string &, const std::string &) override { }
 
     std::deque<start_order> starts;
