Look for another worker once for each kind of slow run

A worker whose idle room is held back looked through all workers for each of its slow runs with every report, which happens most when the site is full and there is no other worker. Runs of one image, size, label and pool get one search a report; a stop that is sent in between does not change its answer.

--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -158,10 +158,49 @@
     return step.savesProgress || pacePercent == 0 || task.progressPercent <= maxLostProgressPercent;
 }
 
-bool isHeldBack(const scheduler_state &state, const filling_image &filling)
+/// Finds another worker for runs of one worker, once for each kind of run: a choice looks at all
+/// workers, and runs of one image differ in their jobs at most.
+class target_search
 {
-    return filling.pacePercent <= slowPacePercent && state.now - filling.slowSince >= slowLimit;
-}
+public:
+    target_search(scheduler_state &state, const worker_record &from)
+        : m_state(state)
+        , m_from(from)
+    { }
+
+    /// Returns true if the run can go on elsewhere.
+    bool hasTarget(const bound_run &run)
+    {
+        const auto known = std::find_if(m_answers.begin(), m_answers.end(),
+                                        [&](const answer &a) { return isSameKind(*a.run, run); });
+        if (known != m_answers.end())
+            return known->hasTarget;
+        const worker_record *target
+            = chooseWorker(m_state, {run.step, run.job->policy.service, nullptr, rack_id(), 1});
+        m_answers.push_back({&run, target != nullptr && target != &m_from});
+        return m_answers.back().hasTarget;
+    }
+
+private:
+    struct answer
+    {
+        const bound_run *run;
+        bool hasTarget;
+    };
+
+    // Returns true if the choice of a worker sees no difference between the runs.
+    static bool isSameKind(const bound_run &a, const bound_run &b)
+    {
+        return a.step == b.step
+            || (a.filling == b.filling && a.serving == b.serving && a.step->size == b.step->size
+                && a.step->requiredLabel == b.step->requiredLabel
+                && a.job->policy.service == b.job->policy.service);
+    }
+
+    scheduler_state &m_state;
+    const worker_record &m_from;
+    std::vector<answer> m_answers;
+};
 
 void logMove(scheduler_state &state, const worker_record &worker, const task_name &name,
              const bound_run &run)
@@ -176,24 +215,17 @@
 // Stops runs that are held back here and can go on elsewhere. They resume from their checkpoint.
 void moveSlowRuns(scheduler_state &state, worker_record &worker)
 {
-    const auto &images = worker.filling;
-    const bool holdsBack = std::any_of(images.begin(), images.end(), [&](const auto &entry) {
-        return isHeldBack(state, entry.second);
-    });
-    if (!holdsBack)
-        return;
+    target_search search(state, worker);
     int moves = 0;
     for (const auto &[name, run] : worker.runs) {
         if (run.filling == nullptr || moves >= maxMovesOfReport)
             continue;
         const filling_image &filling = *run.filling;
         task_state &task = *run.task;
-        if (!isHeldBack(state, filling) || !isWorthMoving(*run.step, task, filling.pacePercent))
-            continue;
-        const service_id &service = run.job->policy.service;
-        const worker_record *target
-            = chooseWorker(state, {run.step, service, nullptr, rack_id(), 1});
-        if (target == nullptr || target == &worker)
+        const bool isHeldBack
+            = filling.pacePercent <= slowPacePercent && state.now - filling.slowSince >= slowLimit;
+        if (!isHeldBack || !isWorthMoving(*run.step, task, filling.pacePercent)
+            || !search.hasTarget(run))
             continue;
         logMove(state, worker, name, run);
         sendStop(state, name, task);
