--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -113,6 +113,15 @@
     /// Has the record of a leaving worker written, or removed if it is none, at \p when.
     void scheduleLeavingRecord(const worker_id &id, instant when);
 
+    /// Writes a line on a single task or order. \p makeFields returns its text and is called only
+    /// if the log has room: a full log drops most of a thousand such lines a second.
+    template <class function>
+    void logDetail(const char *event, function makeFields)
+    {
+        if (ports.wantsDetail())
+            ports.logDetail(event, makeFields());
+    }
+
     /// Sets when the worker is polled next.
     void schedulePoll(worker_record &worker, instant when);
     /// Has the worker polled at \p when at the latest.
