Let no request follow a call that ended as not connected

Between the end of such a call and the release of its connection, one round of the event loop later, the connection could come about and the request be sent; the caller had already been told that nothing was sent. That this was the cause is inferred from the times; it could not be replayed on loopback, where shutting a connecting socket down ends it.

--- a/packages/io/http_client.cpp
+++ b/packages/io/http_client.cpp
@@ -305,6 +305,11 @@
         if (c.isDisposed)
             return;
         c.isDisposed = true;
+        // A connection that comes about before it is freed must not send its request any more: the
+        // call has ended as not connected.
+        if (!c.isConfigured)
+            bufferevent_setcb(evhttp_connection_get_bufferevent(c.wire), nullptr, nullptr, nullptr,
+                              nullptr);
         // The server sees the end now, before a connection that takes this one's place.
         shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(c.wire)), SHUT_RDWR);
         pool *home = c.home;
