Forget workers that left while another host owned the jobs

A host that was elected again took workers for listed that had left under another owner: it polled them four times a second, and wrote them into the list of workers, so that the next owner held back inherited work for them. Each ownership is now told of all workers anew. The test fails without the change.

--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -101,7 +101,8 @@
             pollWorkers(state);
     }
 
-    // Keeps what service discovery and the configuration said.
+    // Keeps what the configuration said. Workers may leave before this host is elected again, so
+    // each ownership is told of them anew.
     void forgetAll()
     {
         answerWaiters(state, job_outcome::not_owner);
@@ -119,15 +120,7 @@
         state.leavingDue.clear();
         state.committingWorkers.clear();
         state.committingLeaving.clear();
-        for (auto i = state.workers.begin(); i != state.workers.end();) {
-            worker_record fresh;
-            fresh.info = i->second.info;
-            fresh.isListed = i->second.isListed;
-            // Answers to polls of the former ownership must not be taken for those of a later one.
-            fresh.lastPoll = i->second.lastPoll + 1;
-            i->second = fresh;
-            i = fresh.isListed ? std::next(i) : state.workers.erase(i);
-        }
+        state.workers.clear();
     }
 
     void pruneWorkers()
--- a/test/failure/scheduler_departed_worker_test.cpp
+++ b/test/failure/scheduler_departed_worker_test.cpp
@@ -204,3 +204,19 @@
     for (const auto &[task, starts] : world.starts)
         EXPECT_EQ(starts, 1) << toString(task);
 }
+
+// A host that was elected again took workers for listed that had left under another owner. It wrote
+// them into the list of workers, and the next owner waited for them.
+TEST_F(departed_worker, IsForgottenByAnOwnerThatIsElectedAgain)
+{
+    first.core.giveUp(world.now);
+    world.takeOver(second);
+    world.run(500ms);
+    world.leave(world.workers.at({"w0"}));
+    world.run(1s);
+    second.isDead = true;
+    world.takeOver(first);
+    world.run(1s);
+    EXPECT_EQ(world.store.at("cw/workers").find("w0 "), std::string::npos);
+    EXPECT_NE(world.store.at("cw/workers").find("w1 "), std::string::npos);
+}
