Commit what callers wait for first, and without a pause

A submission waited 2.6 s for an answer due in 0.3 s. Batches took the jobs in the order in which they had changed, so that it waited behind progress of hundreds of jobs, and the next batch was sent 60 ms after the last one whatever waited.

Jobs whose submission or cancellation waits go first, up to 22 of the 30 entries of a batch while others wait, so that ends are acknowledged all the same. The pause, which lets ends share a batch, is made only after a batch that took all that waited. Batches and the order of writes of one job are as before.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -14,7 +14,10 @@
 // The store takes 32 entries in one transaction; two carry the proof of ownership.
 constexpr std::size_t maxBatchEntries = 30;
 
-// The pause after a batch that held nothing urgent lets ends of several workers share the next.
+/// Jobs whose callers wait go first, up to this many entries while others wait as well.
+constexpr std::size_t maxCallerEntries = 22;
+
+// The pause after a batch that took all that waited lets ends of several workers share the next.
 constexpr duration commitInterval = 60ms;
 
 /// After the store has refused a batch.
@@ -211,6 +214,47 @@
     resumeOccurrences(state, job, unixNowMs);
 }
 
+bool hasRoom(const commit_batch &batch, std::size_t limit)
+{
+    return batch.puts.size() + batch.removedKeys.size() + 2 <= limit;
+}
+
+// Moves the records of a job from those that wait to the batch.
+void addToBatch(scheduler_state &state, const job_name &name, commit_batch &batch)
+{
+    const auto waiters = state.waiters.find(name);
+    if (const job_record *job = state.findJob(name))
+        addRecords(state, *job, batch);
+    else
+        batch.removedKeys.push_back(progressKey(state, name));
+    state.committing.emplace_back(name, std::move(waiters->second));
+    state.waiters.erase(waiters);
+}
+
+// Adds jobs whose callers wait for the batch, the oldest first.
+void addCallersJobs(scheduler_state &state, commit_batch &batch)
+{
+    std::deque<job_name> others;
+    for (job_name &name : state.dirtyJobs) {
+        const job_waiters &waiters = state.waiters.at(name);
+        const bool hasCaller = !waiters.submissions.empty() || !waiters.cancellations.empty();
+        if (hasCaller && hasRoom(batch, maxCallerEntries))
+            addToBatch(state, name, batch);
+        else
+            others.push_back(std::move(name));
+    }
+    state.dirtyJobs = std::move(others);
+}
+
+void addOldestJobs(scheduler_state &state, commit_batch &batch)
+{
+    while (!state.dirtyJobs.empty() && hasRoom(batch, maxBatchEntries)) {
+        const job_name name = std::move(state.dirtyJobs.front());
+        state.dirtyJobs.pop_front();
+        addToBatch(state, name, batch);
+    }
+}
+
 } // namespace
 
 job_waiters &markDirty(scheduler_state &state, const job_record &job)
@@ -247,20 +291,10 @@
     if (state.isWorkerListDirty)
         addWorkerList(state, batch);
     addModel(state, batch);
-    while (!state.dirtyJobs.empty()
-           && batch.puts.size() + batch.removedKeys.size() + 2 <= maxBatchEntries) {
-        const job_name name = state.dirtyJobs.front();
-        state.dirtyJobs.pop_front();
-        const auto waiters = state.waiters.find(name);
-        if (const job_record *job = state.findJob(name))
-            addRecords(state, *job, batch);
-        else
-            batch.removedKeys.push_back(progressKey(state, name));
-        state.committing.emplace_back(name, std::move(waiters->second));
-        state.waiters.erase(waiters);
-    }
+    addCallersJobs(state, batch);
+    addOldestJobs(state, batch);
     state.isCommitting = true;
-    state.nextCommitAt = state.now + commitInterval;
+    state.nextCommitAt = state.dirtyJobs.empty() ? state.now + commitInterval : state.now;
     ++state.counters.commits;
     state.ports.commit(std::move(batch));
 }
--- a/test/correctness/scheduler_jobs_test.cpp
+++ b/test/correctness/scheduler_jobs_test.cpp
@@ -2,6 +2,7 @@
 
 #include "correctness/scheduler_world.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 using namespace crocuswind;
@@ -286,6 +287,42 @@
 
 // The first job that met a refusing store was kept without a durable record, and so was each
 // repetition of the call: none of them had an answer until the store was back.
+// A submission waited 2.6 s behind the progress of other jobs, and the next batch was sent 60 ms
+// after the last one whatever waited.
+TEST_F(job_scheduling, CallersAreAnsweredBeforeProgressOfOtherJobsIsWritten)
+{
+    for (int i = 0; i < 8; ++i)
+        world.addWorker(fmt::format("more-{}", i), "rack-1", {8000, 8000, 1});
+    begin();
+    for (int i = 0; i < 96; ++i) {
+        const job_spec spec = plainJob(fmt::format("early-{}", i), 1);
+        owner.call(job_call_kind::submit, spec.name, &spec);
+    }
+    world.run(700ms);
+    world.isStoreDown = true;
+    world.run(1500ms); // All end, and their progress waits.
+    const job_spec spec = plainJob("late", 1);
+    const call_token token = owner.call(job_call_kind::submit, spec.name, &spec);
+    const std::int64_t commitsBefore = owner.core.counters().commits;
+    world.isStoreDown = false;
+    while (owner.replies.count(token) == 0)
+        world.run(1ms);
+    EXPECT_EQ(owner.replies.at(token).outcome, job_outcome::accepted);
+    // The batch with the job, and the next one, which is sent at once.
+    EXPECT_LE(owner.core.counters().commits, commitsBefore + 2);
+    // The batch had room for progress besides.
+    EXPECT_LT(std::count_if(world.store.begin(), world.store.end(),
+                            [](const auto &entry) {
+                                return entry.first.find("job/early-") != std::string::npos;
+                            }),
+              96);
+    const instant answered = world.now;
+    while (owner.core.counters().jobsUncommitted > 0 && world.now < answered + 1s)
+        world.run(1ms);
+    EXPECT_LT(world.now, answered + 200ms);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 TEST_F(job_scheduling, AreRefusedWhenTheStoreRefusesTheirCommit)
 {
     begin();
