--- a/packages/scheduler/commit_log.h
+++ b/packages/scheduler/commit_log.h
@@ -6,6 +6,10 @@
 
 namespace crocuswind::scheduler {
 
+/// Returns true if a record of what may be on the worker is still to be written or removed, so that
+/// a former one may be durable.
+bool isLeavingRecordOpen(const scheduler_state &state, const worker_id &id);
+
 /// Notes that the record of \p job has changed, and returns what waits for it to become durable.
 job_waiters &markDirty(scheduler_state &state, const job_record &job);
 
@@ -24,7 +28,8 @@
 /// yet are refused if the store is not available.
 void takeBackCommit(scheduler_state &state);
 
-/// Forgets ended jobs whose time has come, here and in the store.
+/// Forgets ended jobs whose time has come, here and in the store. A job stays while a worker may
+/// have a run of it.
 void forgetEndedJobs(scheduler_state &state);
 
 /// Rebuilds jobs and the list of workers from the records of an earlier owner.
--- a/packages/scheduler/job_intake.cpp
+++ b/packages/scheduler/job_intake.cpp
@@ -52,12 +52,14 @@
     job->number = ++state.lastJobNumber;
     job->chainsMs = chainsFromMs(job->spec);
     ++state.counters.accepted;
-    state.ports.logDetail("job_accepted",
-                          fmt::format("job={} queue={} steps={} chain_ms={}", call.name.value,
-                                      call.queue.value, job->spec.steps.size(),
-                                      job->chainsMs.empty() ? 0 : job->chainsMs.front()));
+    state.logDetail("job_accepted", [&] {
+        return fmt::format("job={} queue={} steps={} chain_ms={}", call.name.value,
+                           call.queue.value, job->spec.steps.size(),
+                           job->chainsMs.empty() ? 0 : job->chainsMs.front());
+    });
     markDirty(state, *job).submissions.push_back(call.token);
     state.nextCommitAt = state.now;
+    state.unbegunJobs.insert(call.name);
     state.jobs[call.name] = std::move(job);
 }
 
@@ -131,7 +133,7 @@
         job->finishedUnixMs = state.unixOffsetMs
             + std::chrono::duration_cast<std::chrono::milliseconds>(state.now.time_since_epoch())
                   .count();
-        state.ports.logDetail("job_cancelled", fmt::format("job={}", call.name.value));
+        state.logDetail("job_cancelled", [&] { return fmt::format("job={}", call.name.value); });
         dropTasks(state, *job);
     }
     markDirty(state, *job).cancellations.push_back(call.token);
@@ -143,9 +145,14 @@
     job_reply reply;
     reply.token = call.token;
     reply.outcome = job_outcome::found;
-    for (const auto &[name, job] : state.jobs) {
-        if (job->spec.queue == call.queue && job->isStored && !job->isOver() && !job->hasBegun())
-            ++reply.waitingJobs;
+    for (auto name = state.unbegunJobs.begin(); name != state.unbegunJobs.end();) {
+        const job_record *job = state.findJob(*name);
+        if (job == nullptr || job->isOver() || job->hasBegun()) {
+            name = state.unbegunJobs.erase(name);
+            continue;
+        }
+        reply.waitingJobs += job->spec.queue == call.queue && job->isStored ? 1 : 0;
+        ++name;
     }
     state.ports.answer(reply);
 }
@@ -200,6 +207,7 @@
         for (const pending_end &end : ends)
             settleWhenDurable(state, name, end);
         state.dirtyJobs.erase(std::find(state.dirtyJobs.begin(), state.dirtyJobs.end(), name));
+        state.unbegunJobs.erase(name);
         state.jobs.erase(name);
     }
 }
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -77,13 +77,13 @@
 {
     job.finishedUnixMs = unixTimeMs(state);
     markDirty(state, job);
-    state.ports.logDetail(
-        "job_end",
-        fmt::format(
+    state.logDetail("job_end", [&] {
+        return fmt::format(
             "job={} outcome={} since_accept_ms={}", job.spec.name.value,
             job.isCancelled ? "cancelled" : (job.isFailed ? "failed" : "completed"),
             std::chrono::duration_cast<std::chrono::milliseconds>(state.now - job.acceptedAt)
-                .count()));
+                .count());
+    });
 }
 
 void onTaskDone(scheduler_state &state, job_record &job, const task_name &name)
@@ -203,6 +203,7 @@
         // run.
         other.hasStrayRuns = true;
         other.strayPoll = other.lastPoll;
+        state.noteRunsChanged(other);
     }
     task.countedRun = std::max(task.countedRun, end.run);
     task.phase = task_phase::done;
@@ -229,26 +230,51 @@
         settleWhenDurable(state, end.task.job, pending);
 }
 
-// Adds one task of the step to what the worker carries, or takes it away with \p sign -1.
-void addLoad(worker_record &worker, const step_spec &step, int sign)
+filling_image &addFilling(scheduler_state &state, worker_record &worker, const step_spec &step)
+{
+    const auto [found, isNew] = worker.filling.try_emplace(step.image);
+    if (isNew)
+        found->second.image = state.interference.indexOfFilling(step.image);
+    ++found->second.tasks;
+    found->second.wantedMilliCores += step.size.milliCores;
+    worker.fillingMilliCores += step.size.milliCores;
+    return found->second;
+}
+
+void removeFilling(worker_record &worker, const step_spec &step)
+{
+    const auto found = worker.filling.find(step.image);
+    worker.fillingMilliCores -= step.size.milliCores;
+    found->second.wantedMilliCores -= step.size.milliCores;
+    if (--found->second.tasks == 0)
+        worker.filling.erase(found);
+}
+
+serving_image &addServing(scheduler_state &state, worker_record &worker, const step_spec &step)
+{
+    const auto [found, isNew] = worker.serving.try_emplace(step.image);
+    if (isNew)
+        found->second.image = state.interference.indexOfServing(step.image);
+    ++found->second.tasks;
+    worker.servingMilliCores += step.size.milliCores;
+    return found->second;
+}
+
+void removeServing(worker_record &worker, const step_spec &step)
+{
+    const auto found = worker.serving.find(step.image);
+    worker.servingMilliCores -= step.size.milliCores;
+    if (--found->second.tasks == 0)
+        worker.serving.erase(found);
+}
+
+// Returns what one task of the step takes of a worker's room.
+resources reservedBy(const step_spec &step)
 {
     resources reserved = step.size;
-    if (step.fillsIdleRoom) {
+    if (step.fillsIdleRoom)
         reserved.milliCores = 0;
-        worker.fillingMilliCores += sign * step.size.milliCores;
-        filling_image &image = worker.filling[step.image];
-        image.wantedMilliCores += sign * step.size.milliCores;
-        if (image.wantedMilliCores == 0)
-            worker.filling.erase(step.image);
-    }
-    if (step.latencyTargetMs > 0) {
-        worker.servingMilliCores += sign * step.size.milliCores;
-        serving_image &image = worker.serving[step.image];
-        image.tasks += sign;
-        if (image.tasks == 0)
-            worker.serving.erase(step.image);
-    }
-    worker.committed = sign > 0 ? worker.committed + reserved : worker.committed - reserved;
+    return reserved;
 }
 
 const char *toWord(end_reason reason)
@@ -340,8 +366,12 @@
                 continue;
             for (int step = 0; step < int(occurrence.steps.size()); ++step) {
                 bool hasWaiting = false;
-                for (task_state &task : occurrence.steps[std::size_t(step)]) {
-                    if (task.phase != task_phase::unlocated)
+                auto &tasks = occurrence.steps[std::size_t(step)];
+                for (int index = 0; index < int(tasks.size()); ++index) {
+                    task_state &task = tasks[std::size_t(index)];
+                    const bool isHeld = task.phase != task_phase::unlocated
+                        || state.unreportedWorkers.mayHave({name, number, step, index});
+                    if (isHeld)
                         continue;
                     const bool canBegin = canStepBegin(*job, occurrence, step);
                     ++released;
@@ -353,42 +383,63 @@
             }
         }
     }
+    if (released == 0 && state.unreportedWorkers.size() != 0)
+        return;
+    const auto since
+        = std::chrono::duration_cast<std::chrono::milliseconds>(state.now - state.tookOverAt);
     state.ports.log("unlocated_released",
-                    fmt::format("epoch={} tasks={} since_take_over_ms={}", state.epoch, released,
-                                std::chrono::duration_cast<std::chrono::milliseconds>(
-                                    state.now - state.tookOverAt)
-                                    .count()));
+                    fmt::format("epoch={} tasks={} since_take_over_ms={} workers_unreported={}",
+                                state.epoch, released, since.count(),
+                                state.unreportedWorkers.size()));
     state.isDispatchWanted = true;
 }
 
 void noteReported(scheduler_state &state, const worker_id &worker)
 {
-    if (state.unreportedWorkers.erase(worker) != 0 && state.unreportedWorkers.empty())
+    if (!state.unreportedWorkers.erase(worker))
+        return;
+    state.noteRunsChanged(*state.findWorker(worker));
+    if (!state.unreportedWorkers.mayHaveAny())
         releaseUnlocatedTasks(state);
 }
 
 void bindRun(scheduler_state &state, worker_record &worker, const task_name &name, task_state &task,
              int run)
 {
-    const step_spec &step = specOf(*state.findJob(name.job), name);
+    job_record &job = *state.findJob(name.job);
+    const step_spec &step = specOf(job, name);
     task.worker = worker.info.id;
     task.lastRun = std::max(task.lastRun, run);
     task.pacePercent = 100;
     task.settledPoll = 0;
     task.isStartAnswered = false;
     task.isStopAnswered = false;
-    worker.runs[name] = run;
-    addLoad(worker, step, 1);
+    bound_run &bound = worker.runs[name];
+    bound = {run, &job, &step, &task};
+    if (step.fillsIdleRoom)
+        bound.filling = &addFilling(state, worker, step);
+    if (step.latencyTargetMs > 0)
+        bound.serving = &addServing(state, worker, step);
+    worker.committed = worker.committed + reservedBy(step);
     updateBudgets(state, worker);
+    state.noteRunsChanged(worker);
 }
 
 void unbindRun(scheduler_state &state, const task_name &name, task_state &task)
 {
     worker_record &worker = *state.findWorker(task.worker);
-    const step_spec &step = specOf(*state.findJob(name.job), name);
-    addLoad(worker, step, -1);
+    const auto bound = worker.runs.find(name);
+    const step_spec &step = *bound->second.step;
+    worker.runs.erase(bound);
+    if (step.fillsIdleRoom)
+        removeFilling(worker, step);
+    if (step.latencyTargetMs > 0)
+        removeServing(worker, step);
+    worker.committed = worker.committed - reservedBy(step);
     updateBudgets(state, worker);
-    worker.runs.erase(name);
+    // A task that is done is held back by no record.
+    if (step.isLasting || worker.runs.empty())
+        state.noteRunsChanged(worker);
     task.worker = worker_id();
     state.isDispatchWanted = true;
 }
@@ -400,9 +451,8 @@
         task.phase = task_phase::dropped;
         return;
     }
-    // A later run that an earlier owner started may be on a worker that is that has not reported
-    // yet.
-    if (job.isRecovered && !state.unreportedWorkers.empty()) {
+    // A later run that an earlier owner started may be on a worker that has not reported yet.
+    if (job.isRecovered && state.unreportedWorkers.mayHave(name)) {
         task.phase = task_phase::unlocated;
         return;
     }
@@ -413,15 +463,15 @@
 
 void handleEnd(scheduler_state &state, worker_record &worker, const ended_report &end)
 {
-    if (!worker.ends.accept(end.number))
+    if (!worker.ends.accept(end.number, end.task))
         return;
     task_state *task = state.findTask(end.task);
     const bool counts = task != nullptr && isCounted(worker, *task, end);
-    state.ports.logDetail("task_end",
-                          fmt::format("job={} task={} run={} worker={} end={} reason={} counted={}",
-                                      end.task.job.value, toString(end.task), end.run,
-                                      worker.info.id.value, end.number, toWord(end.reason),
-                                      counts));
+    state.logDetail("task_end", [&] {
+        return fmt::format("job={} task={} run={} worker={} end={} reason={} counted={}",
+                           end.task.job.value, toString(end.task), end.run, worker.info.id.value,
+                           end.number, toWord(end.reason), counts);
+    });
     if (counts)
         countEnd(state, worker, *state.findJob(end.task.job), *task, end);
     else if (task != nullptr)
@@ -435,7 +485,7 @@
 {
     std::vector<task_name> lost;
     for (const auto &[name, run] : worker.runs) {
-        if (isLost(*state.findTask(name)))
+        if (isLost(*run.task))
             lost.push_back(name);
     }
     if (lost.empty())
@@ -444,7 +494,7 @@
         "runs_lost",
         fmt::format("worker={} runs={} reason={}", worker.info.id.value, lost.size(), reason));
     for (const task_name &name : lost) {
-        task_state &task = *state.findTask(name);
+        task_state &task = *worker.runs.at(name).task;
         unbindRun(state, name, task);
         requeue(state, name, task);
         ++state.counters.runsLost;
@@ -456,10 +506,24 @@
     task.phase = task_phase::stopping;
     task.isStopAnswered = false;
     task.stopAgainAt = state.now + stopRetryInterval;
+    state.stopsToRepeat.emplace_back(task.stopAgainAt, name);
     ++state.counters.stops;
     state.ports.stop({task.worker, name, task.lastRun, state.epoch});
 }
 
+void repeatStops(scheduler_state &state)
+{
+    while (!state.stopsToRepeat.empty() && state.stopsToRepeat.front().first <= state.now) {
+        const task_name name = state.stopsToRepeat.front().second;
+        state.stopsToRepeat.pop_front();
+        task_state *task = state.findTask(name);
+        const bool isOverdue = task != nullptr && task->phase == task_phase::stopping
+            && !task->isStopAnswered && task->stopAgainAt <= state.now;
+        if (isOverdue)
+            sendStop(state, name, *task);
+    }
+}
+
 void failIfExhausted(scheduler_state &state, job_record &job)
 {
     if (job.isOver())
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -56,9 +56,10 @@
 
 bool isOpen(const scheduler_state &state, const worker_record &worker)
 {
-    return worker.isListed && worker.isRecorded && worker.isCurrent && !worker.info.isDraining
-        && worker.failedPolls == 0 && !worker.hasStrayRuns && worker.avoidedUntil <= state.now
-        && worker.lease.isClockKnown() && !mayHaveForgottenEpoch(state, worker);
+    return worker.isListed && worker.isRecorded && !worker.isRecordedLeaving && worker.isCurrent
+        && !worker.info.isDraining && worker.failedPolls == 0 && !worker.hasStrayRuns
+        && worker.avoidedUntil <= state.now && worker.lease.isClockKnown()
+        && !mayHaveForgottenEpoch(state, worker);
 }
 
 bool hasRequiredLabel(const step_spec &step, const worker_record &worker)
@@ -279,6 +280,7 @@
         return kind;
     if (request.step->fillsIdleRoom)
         kind.coefficients = m_state.interference.coefficientsOf(request.step->image);
+    kind.heap.reserve(pool.workers.size());
     for (int worker = 0; worker < int(pool.workers.size()); ++worker)
         addCandidate(pool, kind, request, worker);
     std::make_heap(kind.heap.begin(), kind.heap.end(), isDearer);
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -125,7 +125,7 @@
 {
 public:
     /// Returns true if the end is new; it then counts as not durable yet.
-    bool accept(std::int64_t number);
+    bool accept(std::int64_t number, const task_name &task = task_name());
 
     /// Notes that an end needs no further care.
     void settle(std::int64_t number) { m_unsettled.erase(number); }
@@ -136,17 +136,22 @@
     /// Returns true if ends wait to become durable.
     bool hasUnsettled() const { return !m_unsettled.empty(); }
 
+    /// Returns the ends that are not durable yet, by number, with their tasks.
+    const std::map<std::int64_t, task_name> &unsettled() const { return m_unsettled; }
+
     /// Returns the highest number seen.
     std::int64_t highest() const { return m_highest; }
 
 private:
     std::int64_t m_highest = 0;
-    std::set<std::int64_t> m_unsettled;
+    std::map<std::int64_t, task_name> m_unsettled;
 };
 
 /// The runs of one image in a worker's idle room.
 struct filling_image
 {
+    int image = 0; ///< Index in the interference model.
+    int tasks = 0;
     std::int64_t wantedMilliCores = 0; ///< What they would use at full pace.
     double usedShare = 0; ///< Of the worker's processors, as last reported.
     int pacePercent = 100;
@@ -156,6 +161,7 @@
 /// The runs of one image on a worker that have a latency target.
 struct serving_image
 {
+    int image = 0; ///< Index in the interference model.
     int tasks = 0;
     int working = 0; ///< Those that have started up, as last reported.
     double latencyRatio = 0; ///< Highest tail latency against its target, as last reported.
@@ -173,12 +179,30 @@
     double headroom = 1; ///< Utilisation that may be added.
 };
 
+struct job_record;
+struct task_state;
+
+/// A run that may exist on a worker. What it points at exists as long as the run is bound: a job
+/// keeps its tasks while they may run, and a worker the images of its runs.
+struct bound_run
+{
+    int run = 0; ///< Its number.
+    job_record *job = nullptr;
+    const step_spec *step = nullptr;
+    task_state *task = nullptr;
+    filling_image *filling = nullptr; ///< Null if the step does not fill idle room.
+    serving_image *serving = nullptr; ///< Null if the step has no latency target.
+    std::uint64_t shownPoll = 0; ///< The last poll whose report had it.
+};
+
 /// One worker.
 struct worker_record
 {
     worker_info info;
     bool isListed = false; ///< Service discovery has it.
     bool isRecorded = false; ///< A later owner would find it in the stored list of workers.
+    /// A later owner may find it in the stored list of leaving workers: it must be given nothing.
+    bool isRecordedLeaving = false;
     bool isCurrent
         = false; ///< It has reported what it runs, since the ownership or its incarnation began.
     instant currentSince; ///< First report of this incarnation to us.
@@ -187,7 +211,7 @@
     std::int64_t bornUnixMs = 0; ///< As reported; 0 if not known.
     bool hasStrayRuns = false; ///< It may have runs that are no task's current one: room is unsure.
     std::uint64_t strayPoll = 0; ///< Only reports of later polls can show that there are none.
-    std::map<task_name, int> runs; ///< Runs that may exist there, with their numbers.
+    std::map<task_name, bound_run> runs; ///< Runs that may exist there.
     resources committed; ///< What these runs reserve.
     std::int64_t fillingMilliCores = 0; ///< What runs in idle room would like to use.
     std::map<std::string, filling_image> filling; ///< The same by image.
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace crocuswind::scheduler {
 
@@ -83,9 +84,10 @@
     task.runSince = state.now;
     job_record &job = *state.findJob(row.task.job);
     job.occurrences.at(row.task.occurrence).hasBegun = true;
-    state.ports.logDetail("run_adopted",
-                          fmt::format("job={} task={} run={} worker={}", job.spec.name.value,
-                                      toString(row.task), row.run, worker.info.id.value));
+    state.logDetail("run_adopted", [&] {
+        return fmt::format("job={} task={} run={} worker={}", job.spec.name.value,
+                           toString(row.task), row.run, worker.info.id.value);
+    });
 }
 
 // A run that is not the task's current one must not go on.
@@ -93,40 +95,53 @@
 {
     worker.hasStrayRuns = true;
     ++state.counters.stops;
-    state.ports.logDetail("stray_run",
-                          fmt::format("job={} task={} run={} worker={}", row.task.job.value,
-                                      toString(row.task), row.run, worker.info.id.value));
+    state.logDetail("stray_run", [&] {
+        return fmt::format("job={} task={} run={} worker={}", row.task.job.value,
+                           toString(row.task), row.run, worker.info.id.value);
+    });
     state.ports.stop({worker.info.id, row.task, row.run, state.epoch});
 }
 
-void handleRunning(scheduler_state &state, worker_record &worker, const running_report &row)
+// Takes in a run that is not bound to the worker. Returns it if it is bound now.
+bound_run *takeInRun(scheduler_state &state, worker_record &worker, const running_report &row)
 {
     task_state *task = state.findTask(row.task);
-    if (task == nullptr) {
+    const bool isAdopted
+        = task != nullptr && task->phase == task_phase::unlocated && row.run > task->countedRun;
+    if (!isAdopted)
+        return nullptr;
+    adoptRun(state, worker, row, *task);
+    return &worker.runs.at(row.task);
+}
+
+void handleRunning(scheduler_state &state, worker_record &worker, const running_report &row,
+                   std::uint64_t poll)
+{
+    const auto found = worker.runs.find(row.task);
+    bound_run *bound = found != worker.runs.end() ? &found->second : takeInRun(state, worker, row);
+    if (bound == nullptr) {
         stopStray(state, worker, row);
         return;
     }
-    if (task->phase == task_phase::unlocated && row.run > task->countedRun)
-        adoptRun(state, worker, row, *task);
-    const bool isCurrent = task->worker == worker.info.id && task->lastRun == row.run;
-    if (!isCurrent) {
+    bound->shownPoll = poll;
+    task_state &task = *bound->task;
+    if (task.lastRun != row.run) {
         stopStray(state, worker, row);
         return;
     }
-    task->isStartAnswered = true;
-    if (task->phase == task_phase::starting || task->phase == task_phase::uncertain)
-        task->phase = task_phase::running;
+    task.isStartAnswered = true;
+    if (task.phase == task_phase::starting || task.phase == task_phase::uncertain)
+        task.phase = task_phase::running;
     if (!row.saved.empty())
-        task->saved = row.saved;
-    task->progressPercent = row.progressPercent;
-    task->figure = row.figure;
+        task.saved = row.saved;
+    task.progressPercent = row.progressPercent;
+    task.figure = row.figure;
 }
 
 // A run that a sufficiently late poll did not show does not exist.
 void handleAbsent(scheduler_state &state, worker_record &worker, const task_name &name,
-                  std::uint64_t poll)
+                  task_state &task, std::uint64_t poll)
 {
-    task_state &task = *state.findTask(name);
     if (task.phase == task_phase::starting || poll <= task.settledPoll)
         return;
     if (task.phase == task_phase::uncertain) {
@@ -138,10 +153,10 @@
     const bool wasStopped = task.phase == task_phase::stopping;
     if (!wasStopped) {
         ++state.counters.runsLost;
-        state.ports.logDetail("run_lost",
-                              fmt::format("job={} task={} run={} worker={} poll={}", name.job.value,
-                                          toString(name), task.lastRun, worker.info.id.value,
-                                          poll));
+        state.logDetail("run_lost", [&] {
+            return fmt::format("job={} task={} run={} worker={} poll={}", name.job.value,
+                               toString(name), task.lastRun, worker.info.id.value, poll);
+        });
     }
     unbindRun(state, name, task);
     requeue(state, name, task);
@@ -161,16 +176,17 @@
         worker.ackedEnds = std::max(worker.ackedEnds, order.ackedEnds);
     for (const ended_report &end : report.ended)
         handleEnd(state, worker, end);
-    worker.hasStrayRuns = order.number <= worker.strayPoll;
-    for (const running_report &row : report.running)
-        handleRunning(state, worker, row);
-    std::set<task_name> shown;
+    const bool hadStrayRuns = std::exchange(worker.hasStrayRuns, order.number <= worker.strayPoll);
     for (const running_report &row : report.running)
-        shown.insert(row.task);
-    const auto runs = worker.runs; // Changes in the loop.
-    for (const auto &[name, run] : runs) {
-        if (shown.count(name) == 0 && worker.runs.count(name) != 0)
-            handleAbsent(state, worker, name, order.number);
+        handleRunning(state, worker, row, order.number);
+    if (worker.hasStrayRuns != hadStrayRuns)
+        state.noteRunsChanged(worker);
+    for (auto next = worker.runs.begin(); next != worker.runs.end();) {
+        const auto &[shownName, run] = *next++;
+        if (run.shownPoll == order.number)
+            continue;
+        const task_name name = shownName; // The run may be unbound.
+        handleAbsent(state, worker, name, *run.task, order.number);
     }
     if (!worker.isCurrent) {
         worker.isCurrent = true;
@@ -318,7 +334,7 @@
         return;
     state.nextReviewAt = state.now + reviewInterval;
     for (auto &[id, worker] : state.workers) {
-        const bool hasInherited = state.unreportedWorkers.count(id) != 0;
+        const bool hasInherited = state.unreportedWorkers.contains(id);
         if (worker.runs.empty() && !hasInherited)
             continue;
         // A later owner may have found these runs and renewed the lease, so they are given up only
@@ -330,16 +346,9 @@
             loseRuns(state, worker, "lease_lapsed");
             worker.isCurrent = false;
             noteReported(state, id);
-            continue;
-        }
-        for (const auto &[name, run] : worker.runs) {
-            task_state &task = *state.findTask(name);
-            const bool isOverdue = task.phase == task_phase::stopping && !task.isStopAnswered
-                && task.stopAgainAt <= state.now;
-            if (isOverdue)
-                sendStop(state, name, task);
         }
     }
+    repeatStops(state);
 }
 
 void handlePollResult(scheduler_state &state, const poll_order &order, const poll_result &result)
@@ -395,10 +404,11 @@
         worker->lease.noteClock(*result.clockMs, state.now);
     }
     if (result.outcome != order_outcome::done)
-        state.ports.logDetail("start_failed",
-                              fmt::format("job={} task={} run={} worker={} outcome={}",
-                                          order.task.job.value, toString(order.task), order.run,
-                                          order.worker.value, toWord(result.outcome)));
+        state.logDetail("start_failed", [&] {
+            return fmt::format("job={} task={} run={} worker={} outcome={}", order.task.job.value,
+                               toString(order.task), order.run, order.worker.value,
+                               toWord(result.outcome));
+        });
     task->settledPoll = worker->lastPoll;
     task->isStartAnswered = task->isStartAnswered || result.outcome == order_outcome::done;
     if (result.outcome == order_outcome::process_ended)
--- /dev/null
+++ b/test/error/platform_odd_entries_test.cpp
@@ -0,0 +1,302 @@
+// Guards against an odd entry of another writer, or an odd number in any body, that ends the
+// process, takes its memory or hides the entries beside it.
+
+#include "platform/wire_bodies.h"
+#include "protocol/protocol.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <sys/resource.h>
+
+using namespace crocuswind;
+using namespace crocuswind::platform;
+using namespace crocuswind::scheduler;
+using nlohmann::json;
+
+namespace {
+
+/// As many levels as a value of the store has bytes; a parser that recurses runs out of stack.
+constexpr std::size_t deepest = 1'000'000;
+
+/// A tenth of the smallest host's memory.
+constexpr long maxGrowthKb = 16 * 1024;
+
+const std::vector<const char *> beyondTheType = {"1e400",
+                                                 "1e300",
+                                                 "-1e300",
+                                                 "9223372036854775808",
+                                                 "18446744073709551615",
+                                                 "-9223372036854775809",
+                                                 "99999999999999999999999999"};
+
+/// The last one fits into 64 bits; sums of a few do not.
+const std::vector<const char *> tooLarge = [] {
+    std::vector<const char *> numbers = beyondTheType;
+    numbers.push_back("4611686018427387904");
+    return numbers;
+}();
+
+std::string repeat(const std::string &text, std::size_t times)
+{
+    std::string all;
+    for (std::size_t i = 0; i < times; ++i)
+        all += text;
+    return all;
+}
+
+json goodEntry()
+{
+    return {{"service", "pool"},    {"address", "10.0.0.9:8080"},
+            {"zone", "a"},          {"version", "v1"},
+            {"slots", 8},           {"state", "ready"},
+            {"coldLeftMs", 0},      {"capacity", {{"cpu", 16000}, {"memMb", 32768}, {"gpu", 1}}},
+            {"labels", {"a", "r"}}, {"clockMs", 482113},
+            {"born", 17},           {"seq", 4}};
+}
+
+// Writes the entry with the text in place of a field's value; `a/b` names a field of a field.
+std::string entryWith(const std::string &field, const std::string &text)
+{
+    json entry = goodEntry();
+    entry[json::json_pointer("/" + field)] = "PLACE";
+    std::string body = entry.dump();
+    return body.replace(body.find("\"PLACE\""), 7, text);
+}
+
+std::string jobWith(const std::string &field, const std::string &text)
+{
+    const std::string step = field.rfind("job.", 0) == 0
+        ? R"({"count":1,"cpu":1}],")" + field.substr(4) + "\":" + text
+        : fmt::format(R"({{"cpu":1,{}"{}":{}}}])", field == "count" ? "" : "\"count\":1,", field,
+                      text);
+    return R"({"spec":"x","steps":[)" + step + "}";
+}
+
+long peakMemoryKb()
+{
+    rusage usage = {};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+}
+
+bool isRefused(const std::string &body)
+{
+    const auto spec = parseJobBody(body, {"0123456789abcdef"}, {"queue"});
+    return !spec && !spec.error().empty();
+}
+
+} // namespace
+
+// Must come first: the peak of the process's memory never falls.
+TEST(OddBody, DeepNestingIsRefusedWithoutMemory)
+{
+    const std::string deepBodies[]
+        = {repeat("[", deepest), repeat("{\"a\":", deepest / 5),
+           entryWith("more", repeat("[", deepest / 2) + repeat("]", deepest / 2))};
+    const long before = peakMemoryKb();
+    for (const std::string &body : deepBodies) {
+        EXPECT_FALSE(parseListedWorker("i-1", body).has_value());
+        EXPECT_FALSE(parseConfiguration(body).has_value());
+        EXPECT_TRUE(isRefused(body));
+        EXPECT_EQ(parsePollAnswer(200, body).outcome, order_outcome::no_answer);
+        EXPECT_FALSE(parseOrderAnswer(200, body).clockMs.has_value());
+        EXPECT_FALSE(parseRangePage(body).has_value());
+        EXPECT_FALSE(parseWatchPage(body).has_value());
+        EXPECT_FALSE(parseItem(body).has_value());
+        EXPECT_FALSE(parseLeaseAnswer(body).has_value());
+    }
+    EXPECT_LT(peakMemoryKb() - before, maxGrowthKb);
+}
+
+TEST(OddBody, BracketsInTextAreNoNesting)
+{
+    const std::string payload = repeat("[{\\\"\\\\", 200);
+    const auto spec = parseJobBody(R"({"spec":")" + payload + R"(","steps":[{"count":1,"cpu":1}]})",
+                                   {"0123456789abcdef"}, {"queue"});
+    ASSERT_TRUE(spec.has_value());
+    EXPECT_EQ(spec->payload, repeat("[{\"\\", 200));
+}
+
+TEST(OddEntry, NumbersOutOfRangeNameNoWorker)
+{
+    ASSERT_TRUE(parseListedWorker("i-1", goodEntry().dump()).has_value());
+    for (const char *field : {"capacity/cpu", "capacity/memMb", "capacity/gpu", "born"}) {
+        for (const char *number : tooLarge)
+            EXPECT_FALSE(parseListedWorker("i-1", entryWith(field, number)).has_value())
+                << field << " " << number;
+        EXPECT_FALSE(parseListedWorker("i-1", entryWith(field, "-1")).has_value()) << field;
+    }
+}
+
+TEST(OddEntry, FieldsOfAnotherTypeNameNoWorker)
+{
+    for (const char *field : {"service", "address", "zone", "state", "capacity", "capacity/cpu",
+                              "capacity/memMb", "capacity/gpu", "labels", "born"}) {
+        for (const char *value : {"null", "true", "[7]", "{}", "\"\"", "1.5"})
+            EXPECT_FALSE(parseListedWorker("i-1", entryWith(field, value)).has_value())
+                << field << " " << value;
+    }
+    EXPECT_FALSE(parseListedWorker("i-1", entryWith("born", "\"x\"")).has_value());
+    for (const char *field : {"service", "address", "zone", "state", "capacity", "labels"}) {
+        json entry = goodEntry();
+        entry.erase(field);
+        EXPECT_FALSE(parseListedWorker("i-1", entry.dump()).has_value()) << field;
+    }
+}
+
+TEST(OddEntry, PortsOutOfRangeNameNoWorker)
+{
+    for (const char *port : {"0", "65536", "99999999999", "-1", "+80", "80x", " 80", "", "0x50"}) {
+        const std::string address = fmt::format("\"10.0.0.9:{}\"", port);
+        EXPECT_FALSE(parseListedWorker("i-1", entryWith("address", address)).has_value()) << port;
+    }
+    EXPECT_TRUE(parseListedWorker("i-1", entryWith("address", "\"10.0.0.9:65535\"")).has_value());
+}
+
+// An identifier goes into a header of each order and into the list of workers, one a line.
+TEST(OddEntry, KeysThatAreNoIdentifierNameNoWorker)
+{
+    for (const std::string &id :
+         {std::string(), std::string("a/b"), std::string("a\nb"), std::string("a\r\nX: y"),
+          std::string("a b"), std::string("a\0b", 3), std::string("\xff"), std::string(300, 'a')})
+        EXPECT_FALSE(parseListedWorker(id, goodEntry().dump()).has_value()) << id;
+}
+
+TEST(OddEntry, LongTextsAndManyLabelsNameNoWorker)
+{
+    const std::string longText = "\"" + std::string(100'000, 'x') + "\"";
+    EXPECT_FALSE(parseListedWorker("i-1", entryWith("service", longText)).has_value());
+    EXPECT_FALSE(parseListedWorker("i-1", entryWith("zone", longText)).has_value());
+    EXPECT_FALSE(parseListedWorker("i-1", entryWith("labels", "[" + longText + "]")).has_value());
+    const std::string manyLabels = "[\"x\"" + repeat(",\"x\"", 100'000) + "]";
+    EXPECT_FALSE(parseListedWorker("i-1", entryWith("labels", manyLabels)).has_value());
+}
+
+TEST(OddReport, NumbersOutOfRangeAreNotTakenForOthers)
+{
+    for (const char *number : tooLarge) {
+        const std::string n = number;
+        EXPECT_EQ(parsePollAnswer(200, R"({"clockMs":)" + n + "}").outcome,
+                  order_outcome::no_answer)
+            << n;
+        EXPECT_FALSE(parseOrderAnswer(200, R"({"clockMs":)" + n + "}").clockMs.has_value()) << n;
+        const poll_result result = parsePollAnswer(
+            200,
+            R"({"clockMs":5,"born":)" + n + R"(,"running":[["a.0.0.1",)" + n + R"(]],"ended":[[)"
+                + n + R"(,"a.0.0.1",1,"done"],[4,"a.0.0.1",)" + n + R"(,"done"]]})");
+        EXPECT_EQ(result.report.bornUnixMs, 0) << n;
+        EXPECT_TRUE(result.report.running.empty()) << n;
+        for (const ended_report &end : result.report.ended) {
+            EXPECT_EQ(end.number, 4) << n;
+            EXPECT_TRUE(end.task.job.empty()) << n;
+        }
+    }
+    const poll_result result
+        = parsePollAnswer(200, R"({"clockMs":5,"running":[["a.0.0.1",4294967297]]})");
+    EXPECT_TRUE(result.report.running.empty());
+    const poll_result odd = parsePollAnswer(
+        200, R"({"clockMs":5,"running":[["a.0.0.1",1,"",1e300,-1e300],["a.0.0.2",2,"",7,8]]})");
+    ASSERT_EQ(odd.report.running.size(), 2u);
+    EXPECT_EQ(odd.report.running[0].progressPercent, 0);
+    EXPECT_EQ(odd.report.running[0].figure, 0);
+}
+
+TEST(OddJob, NumbersOutOfRangeAreRefused)
+{
+    ASSERT_FALSE(isRefused(jobWith("estimateMs", "5")));
+    for (const char *field :
+         {"count", "cpu", "memMb", "gpu", "estimateMs", "antiAffinity", "targetMs", "mayMiss",
+          "job.repetitions", "job.startAtMs", "job.intervalMs"}) {
+        for (const char *number : tooLarge)
+            EXPECT_TRUE(isRefused(jobWith(field, number))) << field << " " << number;
+        EXPECT_TRUE(isRefused(jobWith(field, "-1"))) << field;
+        EXPECT_TRUE(isRefused(jobWith(field, "\"5\""))) << field;
+    }
+    // 2^32 and 2^32 + 1 read as an int of 32 bits are a step before and a count of one.
+    EXPECT_TRUE(isRefused(jobWith("count", "4294967297")));
+    EXPECT_TRUE(
+        isRefused(R"({"steps":[{"count":1,"cpu":1},{"count":1,"cpu":1,"after":[4294967296]}]})"));
+}
+
+TEST(OddConfiguration, NumbersOutOfRangeAreNotTakenForOthers)
+{
+    for (const char *number : tooLarge) {
+        const std::string n = number;
+        EXPECT_FALSE(parseConfiguration(R"({"version":)" + n + "}").has_value()) << n;
+        const auto config = parseConfiguration(
+            R"({"version":1,"routes":[{"host":"h","prefix":"/","service":"s","timeoutMs":)" + n
+            + R"(,"priority":)" + n + R"(,"maxAttempts":)" + n + R"(,"targetLatencyMs":)" + n
+            + "}]}");
+        if (!config)
+            continue;
+        ASSERT_EQ(config->queues.size(), 1u);
+        EXPECT_EQ(config->queues[0].timeoutMs, 0) << n;
+        EXPECT_EQ(config->queues[0].policy.priority, 0) << n;
+        EXPECT_EQ(config->queues[0].policy.attemptLimit, 1) << n;
+        EXPECT_EQ(config->queues[0].policy.objectiveSlackMs, 0) << n;
+    }
+    const auto config = parseConfiguration(
+        R"({"version":1,"routes":[{"host":"h","prefix":"/","service":"s","stretch":1e300}]})");
+    ASSERT_TRUE(config.has_value());
+    EXPECT_LE(config->queues[0].policy.stretch, 1e6);
+}
+
+// A good entry beside one whose value cannot be decoded has to stay in the list, and what was known
+// under the odd one's key has to go.
+TEST(OddItem, KeepsItsPlaceInPagesAndEvents)
+{
+    const std::string items
+        = R"([{"key":"servers/a","value":"e30=","revision":5},{"key":"servers/b","value":"%%",)"
+          R"("revision":6},{"key":"servers/c","revision":7},7])";
+    const auto page = parseRangePage(R"({"items":)" + items + R"(,"hasMore":true,"currentRev":9})");
+    ASSERT_TRUE(page.has_value());
+    ASSERT_EQ(page->entries.size(), 3u);
+    EXPECT_EQ(page->entries[0].value, "{}");
+    EXPECT_EQ(page->entries[1].value, "");
+    EXPECT_EQ(page->entries[2].key, "servers/c");
+    const auto watched = parseWatchPage(R"({"events":)" + items + R"(,"currentRev":9})");
+    ASSERT_TRUE(watched.has_value());
+    ASSERT_EQ(watched->changes.size(), 3u);
+    EXPECT_FALSE(watched->changes[1].isDeleted);
+    EXPECT_EQ(watched->changes[1].entry.modRevision, 6);
+    // A single item is read for what it says: one that cannot be decoded has no answer.
+    EXPECT_FALSE(parseItem(R"({"key":"servers/b","value":"%%","revision":6})").has_value());
+}
+
+// The next page begins after the last item, whether it can be decoded or not.
+TEST(OddItem, AtTheEndOfAPageLeavesItsKey)
+{
+    const auto page
+        = parseRangePage(R"({"items":[{"key":"a","value":"%%"}],"hasMore":true,"currentRev":9})");
+    ASSERT_TRUE(page.has_value());
+    EXPECT_EQ(page->lastKey, "a");
+    const auto unnamed
+        = parseRangePage(R"({"items":[{"key":"a"},7],"hasMore":true,"currentRev":9})");
+    ASSERT_TRUE(unnamed.has_value());
+    EXPECT_EQ(unnamed->lastKey, "");
+}
+
+// The bytes of a key need not be text. They must not make the whole page unreadable.
+TEST(OddItem, KeysThatAreNoTextLeaveThePageReadable)
+{
+    const std::string items = "[{\"key\":\"servers/\xff\xc3\",\"value\":\"e30=\",\"revision\":5},"
+                              "{\"key\":\"servers/b\",\"value\":\"e30=\",\"revision\":6}]";
+    const auto page = parseRangePage(R"({"items":)" + items + R"(,"currentRev":9})");
+    ASSERT_TRUE(page.has_value());
+    ASSERT_EQ(page->entries.size(), 2u);
+    EXPECT_EQ(page->entries[1].key, "servers/b");
+    const auto watched = parseWatchPage(R"({"events":)" + items + R"(,"currentRev":9})");
+    ASSERT_TRUE(watched.has_value());
+    EXPECT_EQ(watched->changes.size(), 2u);
+}
+
+TEST(OddItem, NumbersOutOfRangeInStoreAnswers)
+{
+    for (const char *number : beyondTheType) {
+        const std::string n = number;
+        EXPECT_FALSE(parseWatchPage(R"({"events":[],"currentRev":)" + n + "}").has_value()) << n;
+        const auto lease = parseLeaseAnswer(R"({"lease":7,"ttlMs":)" + n + "}");
+        EXPECT_TRUE(!lease || lease->ttlSeconds == 0) << n;
+    }
+}
