--- /dev/null
+++ b/test/correctness/platform_report_cost_test.cpp
@@ -0,0 +1,64 @@
+// Guards against reports of workers whose texts are copied again and again while they are read.
+
+#include "platform/wire_bodies.h"
+
+#include <cstdlib>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <new>
+#include <nlohmann/json.hpp>
+
+using namespace crocuswind;
+
+namespace {
+
+std::size_t allocations = 0;
+
+} // namespace
+
+void *operator new(std::size_t size)
+{
+    ++allocations;
+    if (void *memory = std::malloc(size))
+        return memory;
+    throw std::bad_alloc();
+}
+
+void operator delete(void *memory) noexcept
+{
+    std::free(memory);
+}
+
+void operator delete(void *memory, std::size_t) noexcept
+{
+    std::free(memory);
+}
+
+namespace {
+
+// Returns the allocations for a report of that many runs, without those of the JSON tree.
+std::size_t allocationsOf(std::size_t rows)
+{
+    std::string running;
+    for (std::size_t i = 0; i < rows; ++i)
+        running += fmt::format(R"({}["5c0e7a21d94b36f8.0.1.{}",2,"00000bb87a21d94b",41,37])",
+                               i > 0 ? "," : "", i);
+    const std::string body
+        = fmt::format(R"({{"clockMs":482113,"running":[{}],"ended":[]}})", running);
+    const std::size_t before = allocations;
+    const auto tree = nlohmann::json::parse(body);
+    const std::size_t ofTree = allocations - before;
+    const scheduler::poll_result result = platform::parsePollAnswer(200, body);
+    EXPECT_EQ(result.report.running.size(), rows);
+    return allocations - before - 2 * ofTree;
+}
+
+} // namespace
+
+// Each row was copied twice, and the rows were moved whenever their list had doubled.
+TEST(PlatformReportCost, TextsOfARowAreKeptOnce)
+{
+    allocationsOf(1); // Makes what is made once in a process.
+    // The job's name and the checkpoint of each row; a further copy of either is 20 more.
+    EXPECT_LT(allocationsOf(30) - allocationsOf(10), 3 * 20U);
+}
