Count allocations of test programs in one place

Three tests had replaced the allocation functions each for itself; two of them did so with a compiler warning. They share a header now; what they check is unchanged, and all pass.

--- a/test/correctness/platform_report_cost_test.cpp
+++ b/test/correctness/platform_report_cost_test.cpp
@@ -1,41 +1,16 @@
 // Guards against reports of workers whose texts are copied again and again while they are read.
 
+#include "correctness/allocation_counter.h"
 #include "platform/wire_bodies.h"
 
-#include <cstdlib>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
-#include <new>
 #include <nlohmann/json.hpp>
 
 using namespace crocuswind;
 
 namespace {
 
-std::size_t allocations = 0;
-
-} // namespace
-
-void *operator new(std::size_t size)
-{
-    ++allocations;
-    if (void *memory = std::malloc(size))
-        return memory;
-    throw std::bad_alloc();
-}
-
-void operator delete(void *memory) noexcept
-{
-    std::free(memory);
-}
-
-void operator delete(void *memory, std::size_t) noexcept
-{
-    std::free(memory);
-}
-
-namespace {
-
 // Returns the allocations for a report of that many runs, without those of the JSON tree.
 std::size_t allocationsOf(std::size_t rows)
 {
@@ -45,12 +20,12 @@
                                i > 0 ? "," : "", i);
     const std::string body
         = fmt::format(R"({{"clockMs":482113,"running":[{}],"ended":[]}})", running);
-    const std::size_t before = allocations;
+    const std::size_t before = allocated.allocations;
     const auto tree = nlohmann::json::parse(body);
-    const std::size_t ofTree = allocations - before;
+    const std::size_t ofTree = allocated.allocations - before;
     const scheduler::poll_result result = platform::parsePollAnswer(200, body);
     EXPECT_EQ(result.report.running.size(), rows);
-    return allocations - before - 2 * ofTree;
+    return allocated.allocations - before - 2 * ofTree;
 }
 
 } // namespace
--- a/test/correctness/scheduler_report_cost_test.cpp
+++ b/test/correctness/scheduler_report_cost_test.cpp
@@ -1,41 +1,16 @@
 // Guards against reports that cost the owner far more than their content: on a site with 490
 // workers it was saturated by 1,500 reports a second, each of which copied the runs of its worker.
 
+#include "correctness/allocation_counter.h"
 #include "correctness/scheduler_report_fleet.h"
 
-#include <cstdlib>
 #include <gtest/gtest.h>
-#include <new>
 
 using namespace crocuswind;
 using namespace crocuswind::scheduler;
 
 namespace {
 
-std::size_t allocations = 0;
-
-} // namespace
-
-void *operator new(std::size_t size)
-{
-    ++allocations;
-    if (void *memory = std::malloc(size))
-        return memory;
-    throw std::bad_alloc();
-}
-
-void operator delete(void *memory) noexcept
-{
-    std::free(memory);
-}
-
-void operator delete(void *memory, std::size_t) noexcept
-{
-    std::free(memory);
-}
-
-namespace {
-
 struct report_cost : testing::Test
 {
     // The allocations of a report in which nothing has changed.
@@ -50,9 +25,9 @@
         EXPECT_EQ(fleet.running[fleet.ids[0]].size(), std::size_t(servingTasks + fillingTasks));
         const auto [order, result] = fleet.reportOf(fleet.ids[0], report_fleet::usualLatencyMs);
         fleet.ports.isDigesting = false;
-        const std::size_t before = allocations;
+        const std::size_t before = allocated.allocations;
         fleet.core.onPollResult(fleet.now, order, result);
-        return allocations - before;
+        return allocated.allocations - before;
     }
 };
 
--- a/test/error/platform_odd_entries_test.cpp
+++ b/test/error/platform_odd_entries_test.cpp
@@ -1,13 +1,12 @@
 // Guards against an odd entry of another writer, or an odd number in any body, that ends the
 // process, takes its memory or hides the entries beside it.
 
+#include "correctness/allocation_counter.h"
 #include "platform/wire_bodies.h"
 #include "protocol/protocol.h"
 
-#include <cstdlib>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
-#include <new>
 #include <nlohmann/json.hpp>
 
 using namespace crocuswind;
@@ -17,31 +16,6 @@
 
 namespace {
 
-std::size_t requestedBytes = 0; ///< By all allocations so far.
-
-} // namespace
-
-// Inlined, the pair is taken for a mismatch by the compiler.
-[[gnu::noinline]] void *operator new(std::size_t size)
-{
-    requestedBytes += size;
-    if (void *memory = std::malloc(size))
-        return memory;
-    throw std::bad_alloc();
-}
-
-[[gnu::noinline]] void operator delete(void *memory) noexcept
-{
-    std::free(memory);
-}
-
-[[gnu::noinline]] void operator delete(void *memory, std::size_t) noexcept
-{
-    std::free(memory);
-}
-
-namespace {
-
 /// As many levels as a value of the store has bytes; a parser that recurses runs out of stack.
 constexpr std::size_t deepest = 1'000'000;
 
@@ -113,7 +87,7 @@
         = {repeat("[", deepest), repeat("{\"a\":", deepest / 5),
            entryWith("more", repeat("[", deepest / 2) + repeat("]", deepest / 2))};
     for (const std::string &body : deepBodies) {
-        const std::size_t before = requestedBytes;
+        const std::size_t before = allocated.bytes;
         EXPECT_FALSE(parseListedWorker("i-1", body).has_value());
         EXPECT_FALSE(parseConfiguration(body).has_value());
         EXPECT_TRUE(isRefused(body));
@@ -123,7 +97,7 @@
         EXPECT_FALSE(parseWatchPage(body).has_value());
         EXPECT_FALSE(parseItem(body).has_value());
         EXPECT_FALSE(parseLeaseAnswer(body).has_value());
-        EXPECT_LT(requestedBytes - before, maxRequestedBytes);
+        EXPECT_LT(allocated.bytes - before, maxRequestedBytes);
     }
 }
 
