--- a/test/correctness/scheduler_dispatch_cost_test.cpp
+++ b/test/correctness/scheduler_dispatch_cost_test.cpp
@@ -33,6 +33,7 @@
     void commit(commit_batch) override { isCommitting = true; }
     void answer(const job_reply &) override { }
     void log(const std::string &, const std::string &) override { }
+    bool wantsDetail() override { return true; }
     void logDetail(const std::string &, const std::string &) override { }
 
     std::vector<start_order> starts;
--- a/test/correctness/scheduler_interference_test.cpp
+++ b/test/correctness/scheduler_interference_test.cpp
@@ -59,7 +59,8 @@
     interference_model model;
     for (const std::string &filling : names) {
         for (const std::string &serving : names)
-            model.observe(serving, 3, 0.4, {{filling, 0.2}});
+            model.observe(model.indexOfServing(serving), 3, 0.4,
+                          {{model.indexOfFilling(filling), 0.2}});
     }
     interference_model copy;
     copy.decode(model.encode());
