Keep a worker on the list while its ends are not durable

A task could run twice: a worker that service discovery missed for a moment was taken off the stored list of workers as soon as it ran nothing, though the ends that it had listed were not durable yet. An owner that died then left a list without it, and the next one neither waited for that worker nor knew of its ends.

departed_worker.StaysOnTheListWhileItsEndsAreNotDurable failed before (tasks started twice).

--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -132,7 +132,8 @@
         state.nextPruneAt = state.now + pruneInterval;
         for (auto i = state.workers.begin(); i != state.workers.end();) {
             const worker_record &worker = i->second;
-            const bool isGone = !worker.isListed && worker.runs.empty() && !worker.isPolled
+            const bool isGone = !worker.isListed && worker.runs.empty()
+                && !worker.ends.hasUnsettled() && !worker.isPolled
                 && !state.unreportedWorkers.contains(i->first);
             if (isGone) {
                 state.isWorkerListDirty = state.isOwner;
--- a/test/failure/scheduler_departed_worker_test.cpp
+++ b/test/failure/scheduler_departed_worker_test.cpp
@@ -220,3 +220,43 @@
     EXPECT_EQ(world.store.at("cw/workers").find("w0 "), std::string::npos);
     EXPECT_NE(world.store.at("cw/workers").find("w1 "), std::string::npos);
 }
+
+// Discovery missed a worker for a moment, and the owner took it off the list before the ends that
+// it had listed were durable; the next owner did not wait for it.
+TEST_F(departed_worker, StaysOnTheListWhileItsEndsAreNotDurable)
+{
+    fake_worker &large = world.addWorker("large", "rack-1", {90000, 80000, 0});
+    first.core.onWorker(world.now, large.info);
+    first.wake();
+    world.run(200ms);
+    for (int i = 0; i < 4; ++i)
+        first.core.onWorkerGone(world.now, world.workers.at({fmt::format("w{}", i)}).info.id);
+    world.runTime = [](const task_name &) { return 3s; };
+    for (int i = 0; i < 90; ++i)
+        submit(first, fmt::format("j{}", i), 1, false);
+    world.run(2s);
+    ASSERT_EQ(large.runs.size(), 90U);
+    for (auto &[task, run] : large.runs)
+        run.endsAt = world.now + 100ms;
+    large.isListed = false;
+    first.core.onWorkerGone(world.now, large.info.id);
+    first.wake();
+    world.isStoreDown = true; // The ends of many jobs wait, more than one batch takes.
+    world.run(500ms);
+    world.isStoreDown = false;
+    const auto isOnList
+        = [this] { return world.store["cw/workers"].find("large") != std::string::npos; };
+    for (int i = 0; i < 400 && isOnList(); ++i)
+        world.run(1ms);
+    first.isDead = true;
+    world.run(1s);
+    world.takeOver(second);
+    world.run(300ms);
+    large.isListed = true;
+    second.core.onWorker(world.now, large.info);
+    second.wake();
+    world.run(5s);
+    for (const auto &[task, starts] : world.starts)
+        EXPECT_EQ(starts, 1) << toString(task);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
