Believe records of leaving workers of the last owner only

A record that says which tasks may be on a leaving worker was believed whoever had written it. During an upgrade an owner of the former version neither reads nor removes such records; a task that it gave to the worker could be started a second time by the owner after it.

A record carries the epoch of its writer and counts only if that is the epoch before the reader's.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -109,7 +109,7 @@
         return;
     }
     worker->isRecordedLeaving = true;
-    std::string text;
+    std::string text = fmt::format("{}\n", state.epoch);
     for (const task_name &task : tasksOn(state, *worker))
         text += toString(task) + '\n';
     batch.puts.push_back({leavingPrefix(state) + id.value, std::move(text), 0});
@@ -277,6 +277,8 @@
     }
 }
 
+// A record limits what may be on the worker only if the last owner wrote it: one that an earlier
+// owner left behind says nothing of what the worker was given since.
 void readLeaving(scheduler_state &state, const worker_id &id, const std::string &text)
 {
     state.scheduleLeavingRecord(id, state.now);
@@ -284,6 +286,9 @@
         worker->isRecordedLeaving = true;
     std::set<task_name> tasks;
     std::istringstream lines(text);
+    std::string epoch;
+    if (!std::getline(lines, epoch) || epoch != std::to_string(state.epoch - 1))
+        return;
     for (std::string line; std::getline(lines, line);) {
         const auto task = parseTaskName(line);
         if (!task)
--- a/test/failure/scheduler_departed_worker_test.cpp
+++ b/test/failure/scheduler_departed_worker_test.cpp
@@ -221,6 +221,22 @@
     EXPECT_NE(world.store.at("cw/workers").find("w1 "), std::string::npos);
 }
 
+// An owner of a version without such records left one behind that was not true any more.
+TEST_F(departed_worker, ARecordOfAnEarlierOwnerThanTheLastLimitsNothing)
+{
+    world.runTime = [](const task_name &) { return 5s; };
+    submit(first, "a", 8, false);
+    world.run(500ms);
+    const worker_id used = usedWorker().info.id;
+    world.store["cw/leaving/" + used.value] = "0\n";
+    first.isDead = true;
+    second.cutFrom = {used};
+    world.run(1s);
+    world.takeOver(second);
+    world.run(2s);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 // Discovery missed a worker for a moment, and the owner took it off the list before the ends that
 // it had listed were durable; the next owner did not wait for it.
 TEST_F(departed_worker, StaysOnTheListWhileItsEndsAreNotDurable)
