Take no refusal at another address for the end of a worker

A task could run twice: polls go to the address that service discovery names, and a refused connection there ended the wait for the runs of the worker, also if the entry was old or wrong and the worker ran on elsewhere.

The world of the tests refuses connections at addresses where nothing listens, which it had left unanswered. departed_worker.ARefusalAtAnotherAddressProvesNothing failed before.

--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -278,6 +278,15 @@
     return "unknown";
 }
 
+void notePollFailure(scheduler_state &state, worker_record &worker, order_outcome outcome)
+{
+    if (worker.failedPolls++ == 0)
+        state.ports.log("worker_unresponsive",
+                        fmt::format("worker={} outcome={} runs={}", worker.info.id.value,
+                                    toWord(outcome), worker.runs.size()));
+    scheduleFailedPoll(state, worker);
+}
+
 } // namespace
 
 std::optional<instant> leaseEnd(const scheduler_state &state)
@@ -364,6 +373,7 @@
                 "worker_responsive",
                 fmt::format("worker={} failed_polls={}", order.worker.value, worker->failedPolls));
         worker->failedPolls = 0;
+        worker->provenAddress = order.address;
         worker->lastReportAt = state.now;
         handleReport(state, *worker, order, result.report);
         controlPace(state, *worker);
@@ -379,14 +389,14 @@
         replaceWorker(state, *worker);
         return;
     case order_outcome::process_ended:
-        endProcess(state, *worker, order);
+        // An entry of discovery may name an address at which the worker never listened.
+        if (order.address == worker->provenAddress)
+            endProcess(state, *worker, order);
+        else
+            notePollFailure(state, *worker, result.outcome);
         return;
     default:
-        if (worker->failedPolls++ == 0)
-            state.ports.log("worker_unresponsive",
-                            fmt::format("worker={} outcome={} runs={}", order.worker.value,
-                                        toWord(result.outcome), worker->runs.size()));
-        scheduleFailedPoll(state, *worker);
+        notePollFailure(state, *worker, result.outcome);
     }
 }
 
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -295,7 +295,9 @@
     result.outcome
         = worker.isReplaced ? order_outcome::other_incarnation : order_outcome::refused_fence;
     if (order.address != worker.info.address) {
-        result.outcome = order_outcome::not_done; // There is no address to send it to.
+        // Nothing listens at another address; without one there is nowhere to send it to.
+        result.outcome
+            = order.address.empty() ? order_outcome::not_done : order_outcome::process_ended;
     } else if (isRefused) {
         result.outcome = order_outcome::process_ended;
     } else if (!worker.isReplaced && order.epoch >= worker.highestEpoch) {
--- a/test/failure/scheduler_departed_worker_test.cpp
+++ b/test/failure/scheduler_departed_worker_test.cpp
@@ -221,6 +221,26 @@
     EXPECT_NE(world.store.at("cw/workers").find("w1 "), std::string::npos);
 }
 
+// The worker runs on at the address on record; an entry of discovery from before its last start
+// names another one, where nothing listens.
+TEST_F(departed_worker, ARefusalAtAnotherAddressProvesNothing)
+{
+    world.runTime = [](const task_name &) { return 4s; };
+    submit(first, "a", 8, false);
+    world.run(500ms);
+    first.isDead = true;
+    world.run(1s);
+    world.takeOver(second);
+    worker_info former = usedWorker().info;
+    former.address = "at-a-former-address";
+    second.core.onWorker(world.now, former);
+    second.wake();
+    world.run(3s);
+    for (const auto &[task, starts] : world.starts)
+        EXPECT_EQ(starts, 1) << toString(task);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 // An owner of a version without such records left one behind that was not true any more.
 TEST_F(departed_worker, ARecordOfAnEarlierOwnerThanTheLastLimitsNothing)
 {
