--- a/test/correctness/scheduler_jobs_test.cpp
+++ b/test/correctness/scheduler_jobs_test.cpp
@@ -314,8 +314,6 @@
     EXPECT_EQ(owner.replies.at(again).outcome, job_outcome::accepted);
 }
 
-// The first job that met a refusing store was kept without a durable record, and so was each
-// repetition of the call: none of them had an answer until the store was back.
 // A submission waited 2.6 s behind the progress of other jobs, and the next batch was sent 60 ms
 // after the last one whatever waited.
 TEST_F(job_scheduling, CallersAreAnsweredBeforeProgressOfOtherJobsIsWritten)
@@ -352,6 +350,8 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// The first job that met a refusing store was kept without a durable record, and so was each
+// repetition of the call: none of them had an answer until the store was back.
 TEST_F(job_scheduling, AreRefusedWhenTheStoreRefusesTheirCommit)
 {
     begin();
