Split the binding of runs from the phases of tasks

What a run takes of its worker is a file pair of its own now, and the counter of allocations of three tests a part of the stand-ins, since the linter refuses definitions of functions in headers. Nothing but places is changed; the scheduler tests pass.

--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include "run_binding.h"
 #include "task_lifecycle.h"
 #include "worker_choice.h"
 #include "worker_reports.h"
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -1,7 +1,7 @@
 #include "task_lifecycle.h"
 
 #include "commit_log.h"
-#include "pace_control.h"
+#include "run_binding.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -230,53 +230,6 @@
         settleWhenDurable(state, end.task.job, pending);
 }
 
-filling_image &addFilling(scheduler_state &state, worker_record &worker, const step_spec &step)
-{
-    const auto [found, isNew] = worker.filling.try_emplace(step.image);
-    if (isNew)
-        found->second.image = state.interference.indexOfFilling(step.image);
-    ++found->second.tasks;
-    found->second.wantedMilliCores += step.size.milliCores;
-    worker.fillingMilliCores += step.size.milliCores;
-    return found->second;
-}
-
-void removeFilling(worker_record &worker, const step_spec &step)
-{
-    const auto found = worker.filling.find(step.image);
-    worker.fillingMilliCores -= step.size.milliCores;
-    found->second.wantedMilliCores -= step.size.milliCores;
-    if (--found->second.tasks == 0)
-        worker.filling.erase(found);
-}
-
-serving_image &addServing(scheduler_state &state, worker_record &worker, const step_spec &step)
-{
-    const auto [found, isNew] = worker.serving.try_emplace(step.image);
-    if (isNew)
-        found->second.image = state.interference.indexOfServing(step.image);
-    ++found->second.tasks;
-    worker.servingMilliCores += step.size.milliCores;
-    return found->second;
-}
-
-void removeServing(worker_record &worker, const step_spec &step)
-{
-    const auto found = worker.serving.find(step.image);
-    worker.servingMilliCores -= step.size.milliCores;
-    if (--found->second.tasks == 0)
-        worker.serving.erase(found);
-}
-
-// Returns what one task of the step takes of a worker's room.
-resources reservedBy(const step_spec &step)
-{
-    resources reserved = step.size;
-    if (step.fillsIdleRoom)
-        reserved.milliCores = 0;
-    return reserved;
-}
-
 const char *toWord(end_reason reason)
 {
     switch (reason) {
@@ -403,47 +356,6 @@
         releaseUnlocatedTasks(state);
 }
 
-void bindRun(scheduler_state &state, worker_record &worker, const task_name &name, task_state &task,
-             int run)
-{
-    job_record &job = *state.findJob(name.job);
-    const step_spec &step = specOf(job, name);
-    task.worker = worker.info.id;
-    task.lastRun = std::max(task.lastRun, run);
-    task.pacePercent = 100;
-    task.settledPoll = 0;
-    task.isStartAnswered = false;
-    task.isStopAnswered = false;
-    bound_run &bound = worker.runs[name];
-    bound = {run, &job, &step, &task};
-    if (step.fillsIdleRoom)
-        bound.filling = &addFilling(state, worker, step);
-    if (step.latencyTargetMs > 0)
-        bound.serving = &addServing(state, worker, step);
-    worker.committed = worker.committed + reservedBy(step);
-    updateBudgets(state, worker);
-    state.noteRunsChanged(worker);
-}
-
-void unbindRun(scheduler_state &state, const task_name &name, task_state &task)
-{
-    worker_record &worker = *state.findWorker(task.worker);
-    const auto bound = worker.runs.find(name);
-    const step_spec &step = *bound->second.step;
-    worker.runs.erase(bound);
-    if (step.fillsIdleRoom)
-        removeFilling(worker, step);
-    if (step.latencyTargetMs > 0)
-        removeServing(worker, step);
-    worker.committed = worker.committed - reservedBy(step);
-    updateBudgets(state, worker);
-    // A task that is done is held back by no record.
-    if (step.isLasting || worker.runs.empty())
-        state.noteRunsChanged(worker);
-    task.worker = worker_id();
-    state.isDispatchWanted = true;
-}
-
 void requeue(scheduler_state &state, const task_name &name, task_state &task)
 {
     job_record &job = *state.findJob(name.job);
--- a/packages/scheduler/task_lifecycle.h
+++ b/packages/scheduler/task_lifecycle.h
@@ -24,13 +24,6 @@
 /// Nothing that an earlier owner started can be on the worker without our knowledge any more.
 void noteReported(scheduler_state &state, const worker_id &worker);
 
-/// Notes that \p run of the task may exist on \p worker.
-void bindRun(scheduler_state &state, worker_record &worker, const task_name &name, task_state &task,
-             int run);
-
-/// Notes that the current run of the task does not exist any more.
-void unbindRun(scheduler_state &state, const task_name &name, task_state &task);
-
 /// The task has no run now: it waits for the next one, or is dropped with its job.
 void requeue(scheduler_state &state, const task_name &name, task_state &task);
 
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -2,6 +2,7 @@
 
 #include "evacuation.h"
 #include "pace_control.h"
+#include "run_binding.h"
 #include "task_lifecycle.h"
 
 #include <algorithm>
--- a/test/correctness/platform_report_cost_test.cpp
+++ b/test/correctness/platform_report_cost_test.cpp
@@ -1,7 +1,7 @@
 // Guards against reports of workers whose texts are copied again and again while they are read.
 
-#include "correctness/allocation_counter.h"
 #include "platform/wire_bodies.h"
+#include "standin/allocation_counter.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -20,12 +20,12 @@
                                i > 0 ? "," : "", i);
     const std::string body
         = fmt::format(R"({{"clockMs":482113,"running":[{}],"ended":[]}})", running);
-    const std::size_t before = allocated.allocations;
+    const std::size_t before = standin::allocated().allocations;
     const auto tree = nlohmann::json::parse(body);
-    const std::size_t ofTree = allocated.allocations - before;
+    const std::size_t ofTree = standin::allocated().allocations - before;
     const scheduler::poll_result result = platform::parsePollAnswer(200, body);
     EXPECT_EQ(result.report.running.size(), rows);
-    return allocated.allocations - before - 2 * ofTree;
+    return standin::allocated().allocations - before - 2 * ofTree;
 }
 
 } // namespace
--- a/test/correctness/scheduler_report_cost_test.cpp
+++ b/test/correctness/scheduler_report_cost_test.cpp
@@ -1,8 +1,8 @@
 // Guards against reports that cost the owner far more than their content: on a site with 490
 // workers it was saturated by 1,500 reports a second, each of which copied the runs of its worker.
 
-#include "correctness/allocation_counter.h"
 #include "correctness/scheduler_report_fleet.h"
+#include "standin/allocation_counter.h"
 
 #include <gtest/gtest.h>
 
@@ -25,9 +25,9 @@
         EXPECT_EQ(fleet.running[fleet.ids[0]].size(), std::size_t(servingTasks + fillingTasks));
         const auto [order, result] = fleet.reportOf(fleet.ids[0], report_fleet::usualLatencyMs);
         fleet.ports.isDigesting = false;
-        const std::size_t before = allocated.allocations;
+        const std::size_t before = standin::allocated().allocations;
         fleet.core.onPollResult(fleet.now, order, result);
-        return allocated.allocations - before;
+        return standin::allocated().allocations - before;
     }
 };
 
--- a/test/error/platform_odd_entries_test.cpp
+++ b/test/error/platform_odd_entries_test.cpp
@@ -1,9 +1,9 @@
 // Guards against an odd entry of another writer, or an odd number in any body, that ends the
 // process, takes its memory or hides the entries beside it.
 
-#include "correctness/allocation_counter.h"
 #include "platform/wire_bodies.h"
 #include "protocol/protocol.h"
+#include "standin/allocation_counter.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -87,7 +87,7 @@
         = {repeat("[", deepest), repeat("{\"a\":", deepest / 5),
            entryWith("more", repeat("[", deepest / 2) + repeat("]", deepest / 2))};
     for (const std::string &body : deepBodies) {
-        const std::size_t before = allocated.bytes;
+        const std::size_t before = standin::allocated().bytes;
         EXPECT_FALSE(parseListedWorker("i-1", body).has_value());
         EXPECT_FALSE(parseConfiguration(body).has_value());
         EXPECT_TRUE(isRefused(body));
@@ -97,7 +97,7 @@
         EXPECT_FALSE(parseWatchPage(body).has_value());
         EXPECT_FALSE(parseItem(body).has_value());
         EXPECT_FALSE(parseLeaseAnswer(body).has_value());
-        EXPECT_LT(allocated.bytes - before, maxRequestedBytes);
+        EXPECT_LT(standin::allocated().bytes - before, maxRequestedBytes);
     }
 }
 
--- /dev/null
+++ b/test/standin/allocation_counter.cpp
@@ -0,0 +1,39 @@
+#include "allocation_counter.h"
+
+#include <cstdlib>
+#include <new>
+
+namespace crocuswind::standin {
+
+namespace {
+
+allocation_totals totals;
+
+} // namespace
+
+const allocation_totals &allocated()
+{
+    return totals;
+}
+
+} // namespace crocuswind::standin
+
+// Inlined, the pair is taken for a mismatch by the compiler.
+[[gnu::noinline]] void *operator new(std::size_t size)
+{
+    ++crocuswind::standin::totals.allocations;
+    crocuswind::standin::totals.bytes += size;
+    if (void *memory = std::malloc(size))
+        return memory;
+    throw std::bad_alloc();
+}
+
+[[gnu::noinline]] void operator delete(void *memory) noexcept
+{
+    std::free(memory);
+}
+
+[[gnu::noinline]] void operator delete(void *memory, std::size_t) noexcept
+{
+    std::free(memory);
+}
