Take no refused connection for the end of a worker's process

At 2.8 s a zone was cut by a partition that refuses connections. The owner took the refusals for the end of the workers' processes, gave their runs up (72 lines worker_process_ended) and started their tasks elsewhere, while the workers ran on.

departed_worker.ARefusedConnectionProvesNothing fails when a refusal counts as the end.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -272,7 +272,6 @@
         worker_record &worker = state.workers[id];
         worker.info.id = id;
         worker.info.address = line.substr(std::min(space + 1, line.size()));
-        worker.provenAddress = worker.info.address;
         worker.lease.limitLapse(inheritedUntil);
         state.unreportedWorkers.add(id);
     }
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -43,7 +43,6 @@
     int progressPercent = 0; ///< As last reported.
     std::int64_t figure = 0; ///< Tail latency in ms of a serving task, else thousandths of a core.
     int pacePercent = 100; ///< Share at which it was last told to work, or `unknownPace`.
-    bool isStartAnswered = false; ///< The worker has taken the start, or has reported the run.
     bool isStopAnswered = false; ///< The worker has taken the stop: the run cannot begin any more.
     instant stopAgainAt; ///< When a stop without an answer is sent again.
 };
--- a/packages/scheduler/run_binding.cpp
+++ b/packages/scheduler/run_binding.cpp
@@ -66,7 +66,6 @@
     task.lastRun = std::max(task.lastRun, run);
     task.pacePercent = 100;
     task.settledPoll = 0;
-    task.isStartAnswered = false;
     task.isStopAnswered = false;
     bound_run &bound = worker.runs[name];
     bound = {run, &job, &step, &task};
--- a/packages/scheduler/scheduler_ports.h
+++ b/packages/scheduler/scheduler_ports.h
@@ -65,7 +65,7 @@
     invalid, ///< The worker does not understand the order.
     not_done, ///< Surely not carried out; the worker is unwell or was not reached.
     other_incarnation, ///< The worker was started anew.
-    process_ended, ///< Not carried out: nothing listens at the worker's address.
+    connection_refused, ///< Not carried out. A partition can refuse as well as an ended process.
     no_answer, ///< May have been carried out, or may be carried out later.
 };
 
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -392,21 +392,16 @@
         settleWhenDurable(state, end.task.job, {worker.info.id, worker.bornUnixMs, end.number});
 }
 
-void loseRuns(scheduler_state &state, worker_record &worker, const char *reason,
-              const std::function<bool(const task_state &)> &isLost)
+void loseRuns(scheduler_state &state, worker_record &worker, const char *reason)
 {
-    std::vector<task_name> lost;
-    for (const auto &[name, run] : worker.runs) {
-        if (isLost(*run.task))
-            lost.push_back(name);
-    }
-    if (lost.empty())
+    if (worker.runs.empty())
         return;
-    state.ports.log(
-        "runs_lost",
-        fmt::format("worker={} runs={} reason={}", worker.info.id.value, lost.size(), reason));
-    for (const task_name &name : lost) {
-        task_state &task = *worker.runs.at(name).task;
+    state.ports.log("runs_lost",
+                    fmt::format("worker={} runs={} reason={}", worker.info.id.value,
+                                worker.runs.size(), reason));
+    while (!worker.runs.empty()) {
+        const task_name name = worker.runs.begin()->first;
+        task_state &task = *worker.runs.begin()->second.task;
         unbindRun(state, name, task);
         requeue(state, name, task);
         ++state.counters.runsLost;
--- a/packages/scheduler/task_lifecycle.h
+++ b/packages/scheduler/task_lifecycle.h
@@ -4,8 +4,6 @@
 
 #include "scheduler_state.h"
 
-#include <functional>
-
 namespace crocuswind::scheduler {
 
 /// Schedules the occurrences of a job that has just become durable.
@@ -33,11 +31,8 @@
 /// Fails the job if one of its tasks has used up its attempts, once the limit is known.
 void failIfExhausted(scheduler_state &state, job_record &job);
 
-/// All runs on the worker, or those that \p isLost names, are gone without a listed end.
-void loseRuns(
-    scheduler_state &state, worker_record &worker, const char *reason,
-    const std::function<bool(const task_state &)> &isLost
-    = [](const task_state &) { return true; });
+/// All runs on the worker are gone without a listed end.
+void loseRuns(scheduler_state &state, worker_record &worker, const char *reason);
 
 /// Orders the worker to stop the current run.
 void sendStop(scheduler_state &state, const task_name &name, task_state &task);
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -221,7 +221,6 @@
     /// asking the model for each took most of the owner's processor time.
     std::vector<interference_budget> budgets;
     // Polls.
-    std::string provenAddress; ///< Where it answered last, or where its former owner reached it.
     std::uint64_t lastPoll = 0;
     bool isPolled = false; ///< A poll is under way.
     instant nextPollAt;
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -130,7 +130,6 @@
         stopStray(state, worker, row);
         return;
     }
-    task.isStartAnswered = true;
     if (task.phase == task_phase::starting || task.phase == task_phase::uncertain)
         task.phase = task_phase::running;
     if (!row.saved.empty())
@@ -225,21 +224,6 @@
                        state.now + (worker.isListed ? failedPollInterval : 4 * failedPollInterval));
 }
 
-// Nothing listens at the worker's address: its process is gone with all that ran there when the
-// poll was sent. A run whose start was not answered by then may be that of a next process.
-void endProcess(scheduler_state &state, worker_record &worker, const poll_order &order)
-{
-    if (worker.failedPolls++ == 0)
-        state.ports.log("worker_process_ended",
-                        fmt::format("worker={} runs={}", worker.info.id.value, worker.runs.size()));
-    loseRuns(state, worker, "worker_process_ended", [&order](const task_state &task) {
-        return task.isStartAnswered && task.settledPoll < order.number;
-    });
-    worker.isCurrent = false;
-    noteReported(state, worker.info.id);
-    scheduleFailedPoll(state, worker);
-}
-
 // The start was surely not carried out.
 void undoStart(scheduler_state &state, worker_record &worker, const start_order &order,
                task_state &task)
@@ -271,8 +255,8 @@
         return "not_done";
     case order_outcome::other_incarnation:
         return "other_incarnation";
-    case order_outcome::process_ended:
-        return "process_ended";
+    case order_outcome::connection_refused:
+        return "connection_refused";
     case order_outcome::no_answer:
         return "no_answer";
     }
@@ -374,7 +358,6 @@
                 "worker_responsive",
                 fmt::format("worker={} failed_polls={}", order.worker.value, worker->failedPolls));
         worker->failedPolls = 0;
-        worker->provenAddress = order.address;
         worker->lastReportAt = state.now;
         handleReport(state, *worker, order, result.report);
         controlPace(state, *worker);
@@ -389,13 +372,6 @@
     case order_outcome::other_incarnation:
         replaceWorker(state, *worker);
         return;
-    case order_outcome::process_ended:
-        // An entry of discovery may name an address at which the worker never listened.
-        if (order.address == worker->provenAddress)
-            endProcess(state, *worker, order);
-        else
-            notePollFailure(state, *worker, result.outcome);
-        return;
     default:
         notePollFailure(state, *worker, result.outcome);
     }
@@ -421,9 +397,6 @@
                                toWord(result.outcome));
         });
     task->settledPoll = worker->lastPoll;
-    task->isStartAnswered = task->isStartAnswered || result.outcome == order_outcome::done;
-    if (result.outcome == order_outcome::process_ended)
-        state.bringPollForward(*worker, state.now);
     // A stop that overtook the answer decides what becomes of the run.
     if (task->phase != task_phase::starting)
         return;
@@ -456,8 +429,6 @@
     task_state *task = state.findTask(order.task);
     if (result.outcome == order_outcome::refused_fence)
         state.isDeposed = true;
-    if (result.outcome == order_outcome::process_ended && worker != nullptr)
-        state.bringPollForward(*worker, state.now);
     if (worker == nullptr || task == nullptr || task->worker != order.worker
         || task->lastRun != order.run || task->phase != task_phase::stopping)
         return;
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -89,6 +89,7 @@
     instant stalledUntil; ///< Its process does not run before; what arrives waits to be read.
     duration readDelay = 0ms; ///< From the arrival of an answer until it is read.
     std::set<worker_id> cutFrom;
+    bool isRefusedWhenCut = false; ///< The partition refuses connections instead of dropping them.
     std::map<call_token, job_reply> replies;
     std::vector<std::string> events; ///< Names of logged events.
 
