Include the binding of runs where a test binds one

The move of bindRun() into a file of its own had left one test without its declaration, so that a clean build of the tests failed. The whole tree builds, and the test passes.

--- a/test/correctness/scheduler_worker_choice_test.cpp
+++ b/test/correctness/scheduler_worker_choice_test.cpp
@@ -1,7 +1,7 @@
 // Guards against choices from remembered costs that differ from those of a look at all workers.
 
 #include "correctness/job_submission.h"
-#include "scheduler/task_lifecycle.h"
+#include "scheduler/run_binding.h"
 #include "scheduler/worker_choice.h"
 
 #include <fmt/format.h>
