Say what a refused connection tells

The comment on http_result::isRefused still said that a refusal proves the end of a process. Only the comment is changed.

--- a/packages/io/http_client.h
+++ b/packages/io/http_client.h
@@ -53,8 +53,8 @@
     int status = 0;
     http_headers headers;
     std::string body;
-    /// With `not_connected`: nothing listens at the address, so a process that did has ended. Not
-    /// told with TLS.
+    /// With `not_connected`: the connection was refused at once. A partition may refuse connections
+    /// as well as a host on which nothing listens. Not told with TLS.
     bool isRefused = false;
 };
 
