Log the age of the owner's list of workers and how long calls take

Change: event=load has workers_age_ms, start_ms, store_ms and rounds; a watch says up to when its changes are known (asOf), and reports when nothing has changed.

--- a/packages/crocuswindd/cluster_adapter.cpp
+++ b/packages/crocuswindd/cluster_adapter.cpp
@@ -362,6 +362,8 @@
                 tellConfig(config_watch_result{watch, change.entry});
         }
         break;
+    case store_watch_update::kind::unchanged:
+        break;
     case store_watch_update::kind::lost:
         tellConfig(config_watch_ended{watch});
         break;
--- a/packages/io/etcd_store.cpp
+++ b/packages/io/etcd_store.cpp
@@ -153,10 +153,11 @@
         if (message.isCreated && !state->isStarted) {
             state->isStarted = true;
             state->delay = duration::zero();
-            state->callback({store_watch_update::kind::started, message.revision, {}});
+            state->callback({store_watch_update::kind::started, message.revision, {}, {}});
         }
         if (!message.changes.empty() && watches.count(id) != 0)
-            state->callback({store_watch_update::kind::changed, message.revision, message.changes});
+            state->callback(
+                {store_watch_update::kind::changed, message.revision, message.changes, {}});
         return watches.count(id) != 0;
     }
 
@@ -172,7 +173,7 @@
             = duration(std::int64_t(double(state->delay.count()) * (0.5 + random.fraction() / 2)));
         state->retry = loop.callAt(loop.now() + jittered, [this, id] { startWatch(id); });
         if (std::exchange(state->isStarted, false))
-            state->callback({store_watch_update::kind::lost, 0, {}});
+            state->callback({store_watch_update::kind::lost, 0, {}, {}});
     }
 
     event_loop &loop;
--- a/packages/io/event_loop.cpp
+++ b/packages/io/event_loop.cpp
@@ -172,6 +172,7 @@
     std::optional<instant> nextTimerDue; ///< For which `nextTimer` is set.
     instant inputReadUntil; ///< What arrived before is handled when `nextTimer` fires.
     duration worstLateness = duration::zero();
+    std::int64_t rounds = 0;
     timer_id lastTimer = 0;
     // One ordered set behind one event of libevent: events of their own fire out of order when the
     // thread is held up between reading the clock and adding the event.
@@ -264,9 +265,18 @@
     return std::exchange(m_implementation->worstLateness, duration::zero());
 }
 
+std::int64_t event_loop::rounds() const
+{
+    return m_implementation->rounds;
+}
+
 void event_loop::run()
 {
-    event_base_loop(m_implementation->base, EVLOOP_NO_EXIT_ON_EMPTY);
+    event_base *base = m_implementation->base;
+    do {
+        event_base_loop(base, EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+        ++m_implementation->rounds;
+    } while (event_base_got_break(base) == 0);
 }
 
 bool event_loop::runUntil(const std::function<bool()> &done, duration limit)
--- a/packages/io/event_loop.h
+++ b/packages/io/event_loop.h
@@ -60,6 +60,10 @@
     /// function. It is late when callbacks take long or processor time is short.
     duration takeWorstLateness();
 
+    /// Returns how often run() has looked for input and handled what it found. Few rounds a second
+    /// on a busy process mean that input waits: little of each socket is read in a round.
+    std::int64_t rounds() const;
+
     /// Runs until stop() is called.
     void run();
 
--- a/packages/io/log_output.cpp
+++ b/packages/io/log_output.cpp
@@ -11,7 +11,10 @@
 
 /// Lines of this time share one system call.
 constexpr duration flushInterval = 100ms;
-constexpr std::size_t flushBytes = 16 * 1024;
+constexpr std::size_t flushBytes = 4 * 1024;
+
+/// A line on dropped lines before each that was written made up a third of a full log.
+constexpr duration dropReportInterval = 1s;
 
 } // namespace
 
@@ -60,8 +63,10 @@
         return;
     }
     m_tokens -= 1;
-    if (m_dropped != m_droppedReported) {
+    const instant now = m_loop.now();
+    if (m_dropped != m_droppedReported && now >= m_nextDropReportAt) {
         m_droppedReported = m_dropped;
+        m_nextDropReportAt = now + dropReportInterval;
         append(fmt::format("warning log: event=lines_dropped total={}", m_dropped));
     }
     append(line);
--- a/packages/io/log_output.h
+++ b/packages/io/log_output.h
@@ -53,6 +53,7 @@
     instant m_tokensAt;
     std::uint64_t m_dropped = 0;
     std::uint64_t m_droppedReported = 0;
+    instant m_nextDropReportAt;
     timer_id m_timer = 0;
 };
 
--- a/packages/io/store.h
+++ b/packages/io/store.h
@@ -20,12 +20,16 @@
     enum class kind {
         started, ///< Changes after `revision` follow. Read the prefix now: others may be missed.
         changed, ///< `changes` were made.
+        unchanged, ///< Nothing was changed meanwhile.
         lost, ///< The watch has broken off; it is set up again, and `started` follows.
     };
 
     kind what = kind::started;
     std::int64_t revision = 0; ///< The store's revision, for `started` and `changed`.
     std::vector<store_change> changes;
+    /// For `changed` and `unchanged`: with these changes, all that the store accepted before this
+    /// time are known. The epoch of the clock if the store does not tell.
+    instant asOf;
 };
 
 /// The store. Callbacks come from the loop, never from within a call of this class.
--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -121,7 +121,10 @@
 
     void start(const start_order &order) override
     {
-        workers.start(order, guarded([this, order](const order_result &result) {
+        const instant sentAt = loop.now();
+        workers.start(order, guarded([this, order, sentAt](const order_result &result) {
+                          if (result.outcome == order_outcome::done)
+                              load.noteStart(sentAt);
                           core.onStartResult(loop.now(), order, result);
                           scheduleCore();
                       }));
@@ -187,8 +190,11 @@
 
     void submit(std::uint64_t token, const store_operation &operation, instant deadline) override
     {
+        const instant sentAt = loop.now();
         platformStore.submit(operation, deadline,
-                             guarded([this, token](const store_result &result) {
+                             guarded([this, token, sentAt](const store_result &result) {
+                                 if (result)
+                                     load.noteStoreCall(sentAt);
                                  election.onStoreResult(loop.now(), token, result);
                                  scheduleElection();
                                  scheduleCore();
@@ -415,6 +421,7 @@
                     report(revision);
             },
             report,
+            {},
             [this] {
                 m_implementation->election.onOwnerKeyUnknown(m_implementation->loop.now());
             }});
@@ -441,6 +448,13 @@
     m_implementation->scheduleCore();
 }
 
+void job_host::onWorkersCurrent(instant asOf)
+{
+    m_implementation->load.noteWorkersAge();
+    m_implementation->core.onWorkersCurrent(m_implementation->loop.now(), asOf);
+    m_implementation->scheduleCore();
+}
+
 void job_host::call(job_call call, instant deadline, job_router::done_callback done)
 {
     m_implementation->router.call(std::move(call), deadline, std::move(done));
--- a/packages/jobs/job_host.h
+++ b/packages/jobs/job_host.h
@@ -48,6 +48,9 @@
     void onWorker(const scheduler::worker_info &info);
     void onWorkerGone(const worker_id &worker);
 
+    /// Service discovery has told of all changes that it had accepted before \p asOf.
+    void onWorkersCurrent(instant asOf);
+
     /// Handles a call of a caller; \p done is called exactly once, by \p deadline.
     void call(scheduler::job_call call, instant deadline, job_router::done_callback done);
 
--- a/packages/jobs/load_report.cpp
+++ b/packages/jobs/load_report.cpp
@@ -1,6 +1,8 @@
 #include "load_report.h"
 
+#include <algorithm>
 #include <ctime>
+#include <utility>
 
 namespace crocuswind {
 
@@ -18,6 +20,11 @@
     return std::int64_t(time.tv_sec) * 1000 + time.tv_nsec / 1000000;
 }
 
+std::int64_t milliseconds(duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
 } // namespace
 
 load_report::load_report(event_loop &loop, const logger &log, metrics_registry &metrics,
@@ -38,10 +45,29 @@
     m_epoch = epoch;
     m_reported = m_core.counters();
     m_reportedProcessorMs = processorMs();
+    m_reportedRounds = m_loop.rounds();
     m_loop.takeWorstLateness();
     schedule();
 }
 
+void load_report::noteStart(instant sentAt)
+{
+    m_longestStart = std::max(m_longestStart, m_loop.now() - sentAt);
+}
+
+void load_report::noteStoreCall(instant sentAt)
+{
+    m_longestStoreCall = std::max(m_longestStoreCall, m_loop.now() - sentAt);
+}
+
+void load_report::noteWorkersAge()
+{
+    // A new owner has not been told yet.
+    if (m_core.workersAsOf() == instant())
+        return;
+    m_highestWorkersAge = std::max(m_highestWorkersAge, m_loop.now() - m_core.workersAsOf());
+}
+
 void load_report::schedule()
 {
     m_loop.cancel(m_timer);
@@ -50,22 +76,30 @@
 
 void load_report::report()
 {
-    const auto late
-        = std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.takeWorstLateness());
-    m_metrics.set("crocuswind_loop_late_seconds", {}, double(late.count()) / 1e3);
+    const std::int64_t lateMs = milliseconds(m_loop.takeWorstLateness());
+    m_metrics.set("crocuswind_loop_late_seconds", {}, double(lateMs) / 1e3);
     if (!m_core.isOwner())
         return;
     const scheduler_counters now = m_core.counters();
     const scheduler_counters &before = m_reported;
     const std::int64_t usedMs = processorMs();
-    m_log.info("event=load epoch={} late_ms={} processor_ms={} accepted={} starts={} polls={} "
-               "paces={} commits={} tasks_waiting={} jobs_uncommitted={} workers_unreported={}",
-               m_epoch, late.count(), usedMs - m_reportedProcessorMs,
+    const std::int64_t rounds = m_loop.rounds();
+    noteWorkersAge();
+    const std::int64_t workersAgeMs
+        = milliseconds(std::exchange(m_highestWorkersAge, duration::zero()));
+    m_metrics.set("crocuswind_workers_age_seconds", {}, double(workersAgeMs) / 1e3);
+    m_log.info("event=load epoch={} late_ms={} rounds={} processor_ms={} start_ms={} store_ms={} "
+               "workers_age_ms={} accepted={} starts={} polls={} paces={} commits={} "
+               "tasks_waiting={} jobs_uncommitted={} workers_unreported={}",
+               m_epoch, lateMs, rounds - m_reportedRounds, usedMs - m_reportedProcessorMs,
+               milliseconds(std::exchange(m_longestStart, duration::zero())),
+               milliseconds(std::exchange(m_longestStoreCall, duration::zero())), workersAgeMs,
                now.accepted - before.accepted, now.starts - before.starts, now.polls - before.polls,
                now.paces - before.paces, now.commits - before.commits, now.tasksWaiting,
                now.jobsUncommitted, now.workersUnreported);
     m_reported = now;
     m_reportedProcessorMs = usedMs;
+    m_reportedRounds = rounds;
     schedule();
 }
 
--- a/packages/jobs/load_report.h
+++ b/packages/jobs/load_report.h
@@ -10,8 +10,9 @@
 
 namespace crocuswind {
 
-/// Reports what the owner did since the last line, what waits, its processor time and how late its
-/// loop was. Also sets the metric `crocuswind_loop_late_seconds`.
+/// Reports what the owner did since the last line, what waits, its processor time, how late its
+/// loop was, how long calls took and how old its list of workers was. Also sets the metrics
+/// `crocuswind_loop_late_seconds` and `crocuswind_workers_age_seconds`.
 class load_report
 {
 public:
@@ -24,6 +25,15 @@
     /// Begins to report; the lines end when the core is no owner any more.
     void start(std::int64_t epoch);
 
+    /// A start sent at \p sentAt was carried out, as the worker has just answered.
+    void noteStart(instant sentAt);
+
+    /// A call sent to the store at \p sentAt has just been answered.
+    void noteStoreCall(instant sentAt);
+
+    /// The list of workers has its present age, which may fall now.
+    void noteWorkersAge();
+
 private:
     void schedule();
     void report();
@@ -35,6 +45,10 @@
     std::int64_t m_epoch = 0;
     scheduler::scheduler_counters m_reported; ///< As of the last line.
     std::int64_t m_reportedProcessorMs = 0;
+    std::int64_t m_reportedRounds = 0;
+    duration m_longestStart = duration::zero(); ///< Since the last line, as the others below.
+    duration m_longestStoreCall = duration::zero();
+    duration m_highestWorkersAge = duration::zero();
     timer_id m_timer = 0;
 };
 
--- a/packages/jobs/prefix_mirror.cpp
+++ b/packages/jobs/prefix_mirror.cpp
@@ -42,6 +42,10 @@
                 = change.isDeleted ? std::nullopt : std::optional<std::string>(change.entry.value);
             apply(change.entry.key, value, change.entry.modRevision);
         }
+        reportCurrent(update.asOf);
+        return;
+    case store_watch_update::kind::unchanged:
+        reportCurrent(update.asOf);
         return;
     case store_watch_update::kind::lost:
         ++m_reading;
@@ -56,14 +60,21 @@
 {
     const std::uint64_t reading = ++m_reading;
     const auto alive = m_isAlive;
-    m_store.submit(store_range{m_prefix, true}, m_loop.now() + readLimit,
-                   [this, alive, reading](const store_result &result) {
+    const instant askedAt = m_loop.now();
+    m_store.submit(store_range{m_prefix, true}, askedAt + readLimit,
+                   [this, alive, reading, askedAt](const store_result &result) {
                        if (*alive)
-                           onRead(reading, result);
+                           onRead(reading, askedAt, result);
                    });
 }
 
-void prefix_mirror::onRead(std::uint64_t reading, const store_result &result)
+void prefix_mirror::reportCurrent(instant asOf)
+{
+    if (m_isSynchronized && m_callbacks.current)
+        m_callbacks.current(asOf);
+}
+
+void prefix_mirror::onRead(std::uint64_t reading, instant askedAt, const store_result &result)
 {
     if (reading != m_reading)
         return;
@@ -83,6 +94,7 @@
     }
     m_isSynchronized = true;
     m_callbacks.synchronized(result->revision);
+    reportCurrent(askedAt);
 }
 
 void prefix_mirror::apply(const std::string &key, const std::optional<std::string> &value,
--- a/packages/jobs/prefix_mirror.h
+++ b/packages/jobs/prefix_mirror.h
@@ -21,6 +21,9 @@
         changed;
     /// The copy is complete as of \p revision; changes follow as they are made.
     std::function<void(std::int64_t revision)> synchronized;
+    /// The copy, if it is complete, holds all changes that the store accepted before \p asOf. May
+    /// be empty.
+    std::function<void(instant asOf)> current;
     /// The copy may be behind until `synchronized` is called again.
     std::function<void()> lost;
 };
@@ -44,7 +47,8 @@
 private:
     void onUpdate(const store_watch_update &update);
     void read();
-    void onRead(std::uint64_t reading, const store_result &result);
+    void onRead(std::uint64_t reading, instant askedAt, const store_result &result);
+    void reportCurrent(instant asOf);
     void apply(const std::string &key, const std::optional<std::string> &value,
                std::int64_t revision);
 
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -123,6 +123,7 @@
         state.committingWorkers.clear();
         state.committingLeaving.clear();
         state.workers.clear();
+        state.workersAsOf = {};
     }
 
     void pruneWorkers()
@@ -282,6 +283,12 @@
     i.proceed();
 }
 
+void scheduler_core::onWorkersCurrent(instant now, instant asOf)
+{
+    m_implementation->enter(now);
+    m_implementation->state.workersAsOf = std::max(m_implementation->state.workersAsOf, asOf);
+}
+
 void scheduler_core::call(instant now, std::int64_t unixNowMs, const job_call &call)
 {
     m_implementation->enter(now);
@@ -390,6 +397,11 @@
     return m_implementation->state.isOwner;
 }
 
+instant scheduler_core::workersAsOf() const
+{
+    return m_implementation->state.workersAsOf;
+}
+
 const scheduler_counters &scheduler_core::counters() const
 {
     return m_implementation->state.counters;
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -93,6 +93,9 @@
     /// Service discovery does not have this worker any more.
     void onWorkerGone(instant now, const worker_id &worker);
 
+    /// What service discovery has told holds all changes that it had accepted before \p asOf.
+    void onWorkersCurrent(instant now, instant asOf);
+
     /// Handles a call; the answer goes to the ports, at once or later.
     void call(instant now, std::int64_t unixNowMs, const job_call &call);
 
@@ -117,6 +120,9 @@
     /// Returns true while this host owns the jobs.
     bool isOwner() const;
 
+    /// Returns up to when the changes of service discovery are known.
+    instant workersAsOf() const;
+
     const scheduler_counters &counters() const;
 
 private:
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -71,6 +71,7 @@
     std::set<job_name> unbegunJobs;
     std::int64_t lastJobNumber = 0;
     std::map<worker_id, worker_record> workers;
+    instant workersAsOf; ///< All that service discovery had accepted before is known.
     unreported_workers unreportedWorkers;
 
     instant nextPollScanAt; ///< No worker is due for a poll before.
--- a/test/correctness/scheduler_dispatch_cost_test.cpp
+++ b/test/correctness/scheduler_dispatch_cost_test.cpp
@@ -71,7 +71,11 @@
         settle(500ms);
     }
 
-    void allowStarts() { core.setAuthority(now, now + 1000s, now + 1000s); }
+    void allowStarts()
+    {
+        core.setAuthority(now, now + 1000s, now + 1000s);
+        core.onWorkersCurrent(now, now + 1000s);
+    }
 
     // Without a confirmed lease nothing is started.
     void holdStarts() { core.setAuthority(now, now, now); }
--- a/test/correctness/scheduler_report_fleet.h
+++ b/test/correctness/scheduler_report_fleet.h
@@ -88,6 +88,7 @@
         core.setQueues(now, {policy});
         core.setAuthority(now, now + 1000000s, now + 1000000s);
         core.takeOver(now, clockMs(), 1, {}, now);
+        core.onWorkersCurrent(now, now + 1000000s);
         for (int i = 0; i < workers; ++i) {
             worker_info info;
             info.id.value = fmt::format("i-{:010x}", i);
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -123,6 +123,9 @@
     /// The store confirms the host's ownership, as the renewal of its lease does.
     void confirm(fake_owner &owner);
 
+    /// Service discovery tells the owner that it knows all changes, and goes on telling so.
+    void tellCurrent(fake_owner &owner);
+
     /// Lets time pass.
     void run(duration d);
     void at(instant time, std::function<void()> function);
@@ -154,6 +157,7 @@
     std::map<std::string, std::string> store;
     std::int64_t storeEpoch = 0;
     bool isStoreDown = false;
+    bool isDiscoveryLate = false; ///< News of workers reach no owner, though the store answers.
     bool isStoreRefusing = false; ///< Commits are refused without effect.
     std::vector<queue_policy> queues;
     std::map<job_name, job_spec> specs;
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -433,9 +433,23 @@
         if (worker.isListed)
             owner.core.onWorker(now, worker.info);
     }
+    tellCurrent(owner);
     owner.wake();
 }
 
+inline void scheduler_world::tellCurrent(fake_owner &owner)
+{
+    if (owner.isDead || owner.epoch != storeEpoch)
+        return;
+    const bool isReached
+        = !isStoreDown && !owner.isCutFromStore && !isDiscoveryLate && owner.stalledUntil <= now;
+    if (isReached) {
+        owner.core.onWorkersCurrent(now, now);
+        owner.wake();
+    }
+    at(std::max(now + 200ms, owner.stalledUntil), [this, &owner] { tellCurrent(owner); });
+}
+
 inline void scheduler_world::confirm(fake_owner &owner)
 {
     if (owner.isDead || owner.epoch != storeEpoch)
--- a/test/failure/io_http_test.cpp
+++ b/test/failure/io_http_test.cpp
@@ -5,54 +5,11 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <sys/ioctl.h>
-#include <unistd.h>
 
 using namespace crocuswind;
 
 namespace {
 
-/// A listening socket outside the loop: what its connections send and receive needs no round.
-class silent_listener
-{
-public:
-    silent_listener()
-        : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
-    {
-        m_address.sin_family = AF_INET;
-        m_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(m_address);
-        auto *address = reinterpret_cast<sockaddr *>(&m_address);
-        EXPECT_EQ(bind(m_socket, address, length), 0);
-        EXPECT_EQ(listen(m_socket, SOMAXCONN), 0);
-        EXPECT_EQ(getsockname(m_socket, address, &length), 0);
-    }
-    ~silent_listener() { close(m_socket); }
-    silent_listener(const silent_listener &) = delete;
-    silent_listener &operator=(const silent_listener &) = delete;
-
-    ip_endpoint endpoint() const { return {"127.0.0.1", ntohs(m_address.sin_port)}; }
-
-    /// Adds the connections that are established by now.
-    void acceptReady(std::vector<int> &sockets) const
-    {
-        for (int s = accept(m_socket, nullptr, nullptr); s >= 0;
-             s = accept(m_socket, nullptr, nullptr))
-            sockets.push_back(s);
-    }
-
-private:
-    int m_socket;
-    sockaddr_in m_address = {};
-};
-
-bool hasInput(int socket)
-{
-    int count = 0;
-    return ioctl(socket, FIONREAD, &count) == 0 && count > 0;
-}
-
 bool allHaveInput(const std::vector<int> &sockets)
 {
     return std::all_of(sockets.begin(), sockets.end(), hasInput);
--- a/test/failure/scheduler_end_durability_test.cpp
+++ b/test/failure/scheduler_end_durability_test.cpp
@@ -36,6 +36,7 @@
         core.setQueues(now, {policy});
         core.setAuthority(now, now + 1000s, now + 1000s);
         core.takeOver(now, 0, 1, {}, now);
+        core.onWorkersCurrent(now, now + 1000s);
         for (const worker_id &id : {one, two, three}) {
             worker_info info;
             info.id = id;
