--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -23,6 +23,9 @@
     duration workerLease = 6s;
     duration longestLease = 10s; ///< Workers shorten any lease to this.
     duration keepEndedJobs = 150s; ///< How long an ended job can be queried.
+    /// Nothing is to be started by an older list of workers. A worker announces its leave at least
+    /// 2 s ahead, and an order takes up to 0.8 s.
+    duration longestWorkersAge = 1200ms;
     duration earlyLimit = 100ms; ///< An occurrence may be released this long before its time.
 };
 
--- /dev/null
+++ b/test/failure/io_large_answer_test.cpp
@@ -0,0 +1,66 @@
+// Guards against a large answer that is read a few kilobytes a round: on a busy process, whose
+// rounds take tens of milliseconds, what the store told of leaving workers waited for seconds.
+
+#include "failure/io_raw_peer.h"
+
+#include <gtest/gtest.h>
+#include <linux/sockios.h>
+#include <optional>
+#include <string>
+#include <sys/ioctl.h>
+#include <unistd.h>
+#include <vector>
+
+using namespace crocuswind;
+
+namespace {
+
+/// Less than a socket holds for a reader that does not read.
+constexpr std::size_t answerBytes = 60000;
+
+/// Rounds in which a whole answer that has arrived is handed over: one that reads it, one that
+/// calls back, and one to spare.
+constexpr int maxRounds = 3;
+
+// Returns once the peer's system has taken all bytes.
+void sendWhole(int socket, const std::string &bytes)
+{
+    ASSERT_EQ(write(socket, bytes.data(), bytes.size()), ssize_t(bytes.size()));
+    int unsent = 1;
+    while (unsent != 0)
+        ASSERT_EQ(ioctl(socket, SIOCOUTQ, &unsent), 0);
+}
+
+} // namespace
+
+TEST(large_answer, IsReadInFewRounds)
+{
+    event_loop loop;
+    http_client client(loop, http_client_settings());
+    const silent_listener listener;
+    http_call call;
+    call.to = listener.endpoint();
+    call.deadline = loop.now() + testLimit;
+    std::optional<http_result> result;
+    client.send(call, [&](http_result r) { result = std::move(r); });
+    std::vector<int> sockets;
+    const auto isAsked = [&] {
+        listener.acceptReady(sockets);
+        return !sockets.empty() && hasInput(sockets.front());
+    };
+    ASSERT_TRUE(loop.runUntil(isAsked, testLimit));
+    sendWhole(sockets.front(),
+              "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(answerBytes) + "\r\n\r\n"
+                  + std::string(answerBytes, 'x'));
+    int rounds = 0;
+    loop.runUntil(
+        [&] {
+            rounds += result ? 0 : 1;
+            return result.has_value();
+        },
+        testLimit);
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->body.size(), answerBytes);
+    EXPECT_LE(rounds, maxRounds);
+    close(sockets.front());
+}
