Read all that has arrived on a socket in one round of the loop

Callers saw tasks started on workers that had announced their leave up to 4.4 s before (DRAIN, allowed 3 s).

Cause: libevent reads 4 kB of a socket for each look at it. A saturated owner looks 24 to 50 times a second, 5 times while its host is slow, so the watch of the workers delivers 100 to 200 kB a second at best. 490 workers write 140 kB a second, since each heartbeat is a change. The answers pile up in the socket, and the list of workers gets older and older without the watch ever breaking off. Commits, whose answers are small, are not delayed, so nothing else showed it.

Change: connections of clients, servers and hosts read on until the socket is empty, up to 256 kB. Streams and TLS keep their own ways.

--- a/packages/io/http_client.cpp
+++ b/packages/io/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "http_wire.h"
 #include "libevent_time.h"
+#include "socket_reading.h"
 
 #include <algorithm>
 #include <cerrno>
@@ -185,6 +186,9 @@
                         &implementation::onOutput, &c);
         evbuffer_add_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(wire)),
                         &implementation::onInput, &c);
+        // A stream is read as its user takes it.
+        if (home != nullptr && !settings.tls)
+            readAllThatArrived(evhttp_connection_get_bufferevent(wire));
         if (home != nullptr)
             home->connections.push_back(&c);
         connections.emplace(&c, std::move(owned));
--- a/packages/io/http_server.cpp
+++ b/packages/io/http_server.cpp
@@ -3,6 +3,7 @@
 #include "http_wire.h"
 #include "libevent_time.h"
 #include "socket_address.h"
+#include "socket_reading.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -131,6 +132,8 @@
         CROCUSWIND_INVARIANT(socket != nullptr, "cannot create a bufferevent");
         if (settings.tls)
             bufferevent_openssl_set_allow_dirty_shutdown(socket, 1);
+        else
+            readAllThatArrived(socket);
         bufferevent_incref(socket);
         connections[socket] = {socket, loop.now(), false, false};
         updateListeners();
--- a/packages/io/peer_link.cpp
+++ b/packages/io/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "peer_link.h"
 
 #include "socket_address.h"
+#include "socket_reading.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -73,6 +74,8 @@
     m_lastReceived = m_loop.now();
     if (m_settings.tls)
         bufferevent_openssl_set_allow_dirty_shutdown(socket, 1);
+    else
+        readAllThatArrived(socket);
     bufferevent_setcb(socket, &peer_link::onRead, &peer_link::onWritten, &peer_link::onEvent, this);
     bufferevent_enable(socket, EV_READ | EV_WRITE);
     closeAfter(m_settings.handshakeLimit);
