Start nothing by a list of workers that is older than their notice

Cause: the owner starts work by whatever list of workers it has. Neither a watch that is late nor one that is lost holds a start back, so any fault that delays news of the store ends in such starts.

Change: a watch says up to when its changes are known, counted from the time the store was asked. While that is longer ago than the workers' notice less the time an order may take (bounds.drainMs less 0.8 s), the owner starts nothing and moves nothing, and logs starts_held and starts_resumed. While the store does not answer at all, workers cannot announce anything there either, and known jobs go on as before.

Fixtures that bypass discovery say that their list is current; what they check is unchanged.

--- a/packages/crocuswindd/cluster_adapter.cpp
+++ b/packages/crocuswindd/cluster_adapter.cpp
@@ -9,6 +9,9 @@
 /// How long the read that completes a new watch may take.
 constexpr duration watchReadLimit = 2s;
 
+/// The configuration changes rarely, and nothing is judged by its age.
+constexpr duration configSilence = 10s;
+
 session_settings sessionSettings(const host_context &context)
 {
     session_settings settings;
@@ -344,7 +347,7 @@
     const std::int64_t watch = action.watch;
     m_context.metrics.add("crocuswind_store_calls_total", {{"part", "watch"}});
     m_watches[watch] = m_context.platformStore.watch(
-        configCurrentKey,
+        configCurrentKey, configSilence,
         [this, watch](const store_watch_update &update) { handleWatch(watch, update); });
 }
 
--- a/packages/io/etcd_store.cpp
+++ b/packages/io/etcd_store.cpp
@@ -197,7 +197,7 @@
     m_implementation->submit(operation, deadline, std::move(done));
 }
 
-store_watch_id etcd_store::watch(const std::string &prefix, watch_callback callback)
+store_watch_id etcd_store::watch(const std::string &prefix, duration, watch_callback callback)
 {
     implementation &i = *m_implementation;
     const store_watch_id id = ++i.lastWatch;
--- a/packages/io/store.h
+++ b/packages/io/store.h
@@ -47,8 +47,11 @@
         = 0;
 
     /// Watches all keys with a prefix until cancelWatch(). After a failure the watch is set up
-    /// again with a jittered delay.
-    virtual store_watch_id watch(const std::string &prefix, watch_callback callback) = 0;
+    /// again with a jittered delay. A store that tells up to when changes are known reports
+    /// `unchanged` after \p maxSilence without one.
+    virtual store_watch_id watch(const std::string &prefix, duration maxSilence,
+                                 watch_callback callback)
+        = 0;
 
     /// Ends a watch. Its callback is not called any more.
     virtual void cancelWatch(store_watch_id watch) = 0;
--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -19,6 +19,9 @@
 constexpr duration recordsReadLimit = 3s;
 constexpr duration handoverPollInterval = 10ms;
 
+// While the owner's key does not change, a watch is asked for again after this time.
+constexpr duration ownerSilence = 1500ms;
+
 // First byte of a frame between entry hosts.
 constexpr char callFrame = 'C';
 constexpr char replyFrame = 'R';
@@ -413,7 +416,7 @@
         self.scheduleElection();
     };
     i.ownerMirror = std::make_unique<prefix_mirror>(
-        i.loop, i.platformStore, key,
+        i.loop, i.platformStore, key, ownerSilence,
         prefix_mirror_callbacks{
             [this, report](const std::string &, const std::optional<std::string> &,
                            std::int64_t revision) {
--- a/packages/jobs/prefix_mirror.cpp
+++ b/packages/jobs/prefix_mirror.cpp
@@ -14,13 +14,14 @@
 } // namespace
 
 prefix_mirror::prefix_mirror(event_loop &loop, store &source, std::string prefix,
-                             prefix_mirror_callbacks callbacks)
+                             duration maxSilence, prefix_mirror_callbacks callbacks)
     : m_loop(loop)
     , m_store(source)
     , m_prefix(std::move(prefix))
     , m_callbacks(std::move(callbacks))
 {
-    m_watch = m_store.watch(m_prefix, [this](const store_watch_update &u) { onUpdate(u); });
+    m_watch
+        = m_store.watch(m_prefix, maxSilence, [this](const store_watch_update &u) { onUpdate(u); });
 }
 
 prefix_mirror::~prefix_mirror()
--- a/packages/jobs/prefix_mirror.h
+++ b/packages/jobs/prefix_mirror.h
@@ -32,7 +32,8 @@
 class prefix_mirror
 {
 public:
-    prefix_mirror(event_loop &loop, store &source, std::string prefix,
+    /// \p maxSilence is that of store::watch().
+    prefix_mirror(event_loop &loop, store &source, std::string prefix, duration maxSilence,
                   prefix_mirror_callbacks callbacks);
     ~prefix_mirror();
     prefix_mirror(const prefix_mirror &) = delete;
--- /dev/null
+++ b/packages/scheduler/discovery_age.cpp
@@ -0,0 +1,48 @@
+#include "discovery_age.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace crocuswind::scheduler {
+
+namespace {
+
+// The text of a log field. A new owner that was not told yet knows no age.
+std::string ageText(const scheduler_state &state)
+{
+    if (state.workersAsOf == instant())
+        return "unknown";
+    const duration age = state.now - state.workersAsOf;
+    return fmt::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+}
+
+} // namespace
+
+bool areWorkersOutdated(const scheduler_state &state)
+{
+    return state.isStoreAvailable
+        && state.now - state.workersAsOf > state.settings.longestWorkersAge;
+}
+
+bool holdsStarts(scheduler_state &state)
+{
+    const bool isOutdated = areWorkersOutdated(state);
+    if (isOutdated && !std::exchange(state.areStartsHeld, true))
+        state.ports.log("starts_held", "workers_age_ms=" + ageText(state));
+    return isOutdated;
+}
+
+void noteWorkersCurrent(scheduler_state &state, instant asOf)
+{
+    const std::string age = state.areStartsHeld ? ageText(state) : std::string();
+    state.workersAsOf = std::max(state.workersAsOf, asOf);
+    if (!state.areStartsHeld || areWorkersOutdated(state))
+        return;
+    state.areStartsHeld = false;
+    state.isDispatchWanted = true;
+    state.nextDispatchAt = state.now;
+    state.ports.log("starts_resumed", "workers_age_ms=" + age);
+}
+
+} // namespace crocuswind::scheduler
--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include "discovery_age.h"
 #include "run_binding.h"
 #include "task_lifecycle.h"
 #include "worker_choice.h"
@@ -250,12 +251,12 @@
 
 void dispatch(scheduler_state &state)
 {
-    const bool isHeld = !state.isOwner || state.isHandingOver || !leaseEnd(state);
+    const bool hasAuthority = state.isOwner && !state.isHandingOver && leaseEnd(state);
     const bool isReviewDue
         = !state.ready.empty() && state.now >= state.nextDispatchAt + reviewInterval;
     if (state.now < state.nextDispatchAt || (!state.isDispatchWanted && !isReviewDue))
         return;
-    if (isHeld) {
+    if (!hasAuthority || holdsStarts(state)) {
         state.nextDispatchAt = state.now + reviewInterval;
         return;
     }
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -1,6 +1,7 @@
 #include "scheduler_core.h"
 
 #include "commit_log.h"
+#include "discovery_age.h"
 #include "dispatcher.h"
 #include "evacuation.h"
 #include "job_intake.h"
@@ -124,6 +125,7 @@
         state.committingLeaving.clear();
         state.workers.clear();
         state.workersAsOf = {};
+        state.areStartsHeld = false;
     }
 
     void pruneWorkers()
@@ -286,7 +288,7 @@
 void scheduler_core::onWorkersCurrent(instant now, instant asOf)
 {
     m_implementation->enter(now);
-    m_implementation->state.workersAsOf = std::max(m_implementation->state.workersAsOf, asOf);
+    noteWorkersCurrent(m_implementation->state, asOf);
 }
 
 void scheduler_core::call(instant now, std::int64_t unixNowMs, const job_call &call)
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -23,8 +23,8 @@
     duration workerLease = 6s;
     duration longestLease = 10s; ///< Workers shorten any lease to this.
     duration keepEndedJobs = 150s; ///< How long an ended job can be queried.
-    /// Nothing is to be started by an older list of workers. A worker announces its leave at least
-    /// 2 s ahead, and an order takes up to 0.8 s.
+    /// Nothing is started by an older list of workers: some may have announced their leave. A
+    /// worker gives notice at least 2 s ahead, and an order takes up to 0.8 s.
     duration longestWorkersAge = 1200ms;
     duration earlyLimit = 100ms; ///< An occurrence may be released this long before its time.
 };
@@ -96,7 +96,8 @@
     /// Service discovery does not have this worker any more.
     void onWorkerGone(instant now, const worker_id &worker);
 
-    /// What service discovery has told holds all changes that it had accepted before \p asOf.
+    /// What service discovery has told holds all changes that it had accepted before \p asOf. While
+    /// that is longer ago than `longestWorkersAge` and the store answers, nothing is started.
     void onWorkersCurrent(instant now, instant asOf);
 
     /// Handles a call; the answer goes to the ports, at once or later.
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -72,6 +72,7 @@
     std::int64_t lastJobNumber = 0;
     std::map<worker_id, worker_record> workers;
     instant workersAsOf; ///< All that service discovery had accepted before is known.
+    bool areStartsHeld = false; ///< The list of workers is too old to start anything by it.
     unreported_workers unreportedWorkers;
 
     instant nextPollScanAt; ///< No worker is due for a poll before.
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -1,5 +1,6 @@
 #include "worker_choice.h"
 
+#include "discovery_age.h"
 #include "pace_control.h"
 #include "worker_reports.h"
 
@@ -171,6 +172,9 @@
 
 worker_record *chooseWorker(scheduler_state &state, const worker_request &request)
 {
+    // A run that is stopped to be moved could not start elsewhere.
+    if (areWorkersOutdated(state))
+        return nullptr;
     const step_spec &step = *request.step;
     std::vector<double> coefficients;
     if (step.fillsIdleRoom)
--- a/packages/scheduler/worker_choice.h
+++ b/packages/scheduler/worker_choice.h
@@ -27,9 +27,9 @@
 /// worker beside what runs there.
 std::int64_t idleMilliCores(const worker_record &worker);
 
-/// Returns the eligible worker that suits best, or null. Work in idle room goes where most is
-/// idle and serving tasks bear it; other work goes where it leaves the least
-/// room over, so that wide gaps stay for large tasks.
+/// Returns the eligible worker that suits best, or null, also while the list of workers is too old
+/// to start anything by it. Work in idle room goes where most is idle and serving tasks bear it;
+/// other work goes where it leaves the least room over, so that wide gaps stay for large tasks.
 worker_record *chooseWorker(scheduler_state &state, const worker_request &request);
 
 /// What a worker has left, as far as many choices ask for it.
--- a/test/correctness/scheduler_worker_choice_test.cpp
+++ b/test/correctness/scheduler_worker_choice_test.cpp
@@ -35,6 +35,7 @@
     {
         state.now = instant(1000s);
         state.soleUntil = state.now + 10s;
+        state.workersAsOf = state.now;
         for (int i = 0; i < 60; ++i)
             addWorker(i);
         std::string coefficients;
--- a/test/error/platform_settings_test.cpp
+++ b/test/error/platform_settings_test.cpp
@@ -60,8 +60,8 @@
 // Times are kept in microseconds: a larger number of seconds made a lease of negative length.
 TEST(NodeSettings, NumbersOutOfRangeAreMistakes)
 {
-    for (const char *name :
-         {"bounds.holdMaxMs", "bounds.early_ms", "bounds.status_s", "bounds.graceS"}) {
+    for (const char *name : {"bounds.holdMaxMs", "bounds.drainMs", "bounds.early_ms",
+                             "bounds.status_s", "bounds.graceS"}) {
         for (const char *number : {"9223372036854775807", "99999999999999999999", "-1", "x"}) {
             const auto settings = parseNodeSettings(good + name + "=" + number + "\n", "node.conf");
             EXPECT_FALSE(settings.has_value()) << name << " " << number;
--- a/test/failure/io_etcd_store_test.cpp
+++ b/test/failure/io_etcd_store_test.cpp
@@ -109,7 +109,7 @@
     for (cut = 1; cut < stream.size(); ++cut) {
         std::vector<store_watch_update> updates;
         const store_watch_id id = store.watch(
-            "a/", [&](const store_watch_update &update) { updates.push_back(update); });
+            "a/", 1s, [&](const store_watch_update &update) { updates.push_back(update); });
         ASSERT_TRUE(loop.runUntil([&] { return updates.size() == 2; }, testLimit)) << cut;
         EXPECT_EQ(updates[0].what, store_watch_update::kind::started);
         EXPECT_EQ(updates[0].revision, 4);
@@ -136,7 +136,7 @@
     });
     etcd_store store(loop, settingsFor({raw.endpoint}), random);
     std::vector<store_watch_update::kind> kinds;
-    store.watch("a/", [&](const store_watch_update &update) { kinds.push_back(update.what); });
+    store.watch("a/", 1s, [&](const store_watch_update &update) { kinds.push_back(update.what); });
     ASSERT_TRUE(loop.runUntil([&] { return kinds.size() >= 8; }, testLimit));
     for (std::size_t i = 0; i < 8; ++i)
         EXPECT_EQ(kinds[i],
@@ -150,7 +150,7 @@
     etcd_store store(loop, settingsFor({raw.endpoint}), random);
     int updates = 0;
     store_watch_id id = 0;
-    id = store.watch("a/", [&](const store_watch_update &) {
+    id = store.watch("a/", 1s, [&](const store_watch_update &) {
         ++updates;
         store.cancelWatch(id);
     });
