Write large messages to a socket in one round of the loop

Change: sockets of clients, servers and hosts write up to 256 kB at once, as far as the system takes them.

--- a/packages/io/http_client.cpp
+++ b/packages/io/http_client.cpp
@@ -2,7 +2,7 @@
 
 #include "http_wire.h"
 #include "libevent_time.h"
-#include "socket_reading.h"
+#include "socket_throughput.h"
 
 #include <algorithm>
 #include <cerrno>
@@ -186,6 +186,7 @@
                         &implementation::onOutput, &c);
         evbuffer_add_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(wire)),
                         &implementation::onInput, &c);
+        writeAllAtOnce(evhttp_connection_get_bufferevent(wire));
         // A stream is read as its user takes it.
         if (home != nullptr && !settings.tls)
             readAllThatArrived(evhttp_connection_get_bufferevent(wire));
--- a/packages/io/http_server.cpp
+++ b/packages/io/http_server.cpp
@@ -3,7 +3,7 @@
 #include "http_wire.h"
 #include "libevent_time.h"
 #include "socket_address.h"
-#include "socket_reading.h"
+#include "socket_throughput.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -130,6 +130,7 @@
                                              BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE)
             : bufferevent_socket_new(base, -1, 0);
         CROCUSWIND_INVARIANT(socket != nullptr, "cannot create a bufferevent");
+        writeAllAtOnce(socket);
         if (settings.tls)
             bufferevent_openssl_set_allow_dirty_shutdown(socket, 1);
         else
--- a/packages/io/peer_link.cpp
+++ b/packages/io/peer_link.cpp
@@ -1,7 +1,7 @@
 #include "peer_link.h"
 
 #include "socket_address.h"
-#include "socket_reading.h"
+#include "socket_throughput.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -72,6 +72,7 @@
     CROCUSWIND_INVARIANT(socket != nullptr, "cannot create a bufferevent");
     m_socket = socket;
     m_lastReceived = m_loop.now();
+    writeAllAtOnce(socket);
     if (m_settings.tls)
         bufferevent_openssl_set_allow_dirty_shutdown(socket, 1);
     else
--- a/packages/io/socket_reading.cpp
+++ b/packages/io/socket_throughput.cpp
@@ -1,4 +1,4 @@
-#include "socket_reading.h"
+#include "socket_throughput.h"
 
 #include <cstddef>
 #include <event2/buffer.h>
@@ -37,6 +37,9 @@
     isReadingOn = false;
 }
 
+/// Keeps one large message from holding up all others.
+constexpr std::size_t bytesOfWrite = 256 * 1024;
+
 } // namespace
 
 void readAllThatArrived(bufferevent *socket)
@@ -44,4 +47,9 @@
     evbuffer_add_cb(bufferevent_get_input(socket), &onInput, socket);
 }
 
+void writeAllAtOnce(bufferevent *socket)
+{
+    bufferevent_set_max_single_write(socket, bytesOfWrite);
+}
+
 } // namespace crocuswind
--- a/packages/io/socket_reading.h
+++ b/packages/io/socket_throughput.h
@@ -1,6 +1,6 @@
-/// Lets what has arrived on a socket be read at once; private to the package.
-#ifndef CROCUSWIND_IO_SOCKET_READING_H
-#define CROCUSWIND_IO_SOCKET_READING_H
+/// Lets large messages pass a socket in one round of the loop; private to the package.
+#ifndef CROCUSWIND_IO_SOCKET_THROUGHPUT_H
+#define CROCUSWIND_IO_SOCKET_THROUGHPUT_H
 
 struct bufferevent;
 
@@ -11,6 +11,10 @@
 /// second, so that a sender of more than 120 kB a second is read later and later.
 void readAllThatArrived(bufferevent *socket);
 
+/// Makes a socket write up to 256 KiB at once, as far as the system takes them. libevent writes 16
+/// KiB for each look at a socket.
+void writeAllAtOnce(bufferevent *socket);
+
 } // namespace crocuswind
 
 #endif
