End the loop if libevent cannot wait for events

Since rounds are counted, run() calls libevent once a round. An error of libevent would have made it spin; it ends run() again, as before. Found by review; nothing was seen of it.

--- a/packages/io/event_loop.cpp
+++ b/packages/io/event_loop.cpp
@@ -273,10 +273,9 @@
 void event_loop::run()
 {
     event_base *base = m_implementation->base;
-    do {
-        event_base_loop(base, EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+    constexpr int oneRound = EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY;
+    while (event_base_loop(base, oneRound) == 0 && event_base_got_break(base) == 0)
         ++m_implementation->rounds;
-    } while (event_base_got_break(base) == 0);
 }
 
 bool event_loop::runUntil(const std::function<bool()> &done, duration limit)
