Keep the candidates for waiting tasks over several dispatch passes

Cause: each pass examined all workers again for each kind of step, some 5 ms of processor time a pass at 1,100 workers, and each run that could move searched all workers.

Change: worker_chooser lives over several passes and examines a worker again only when it has changed; a worker that is avoided comes back at its time; the choice checks eligibility anew. Moves use it too. It is rebuilt every second, when a worker joins or leaves, and when the owner's exclusive time had run out. jobs_owner_process_benchmark places serving and best-effort tasks.

--- a/packages/io/event_loop.cpp
+++ b/packages/io/event_loop.cpp
@@ -24,9 +24,9 @@
 constexpr int priorityCount = 2;
 constexpr int highPriority = 0;
 
-// Creates a base that passes changes of the polled sockets to the kernel once per round. An HTTP call
-// switches the events of its socket six times, and most of these changes cancel out within a round.
-// libevent allows this only as long as no descriptor of a polled socket is duplicated.
+// Creates a base that passes changes of the polled sockets to the kernel once per round. An HTTP
+// call switches the events of its socket six times, and most of these changes cancel out within a
+// round. libevent allows this only as long as no descriptor of a polled socket is duplicated.
 event_base *newEventBase()
 {
     event_config *config = event_config_new();
--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -134,8 +134,10 @@
 void finishLeavingRecords(scheduler_state &state)
 {
     for (const auto &[id, isLeaving] : state.committingLeaving) {
-        if (worker_record *worker = state.findWorker(id))
+        if (worker_record *worker = state.findWorker(id)) {
             worker->mayHaveLeavingRecord = isLeaving;
+            state.noteWorkerChanged(*worker);
+        }
         state.isDispatchWanted = state.isDispatchWanted || !isLeaving;
     }
     state.committingLeaving.clear();
@@ -431,6 +433,7 @@
         if (worker == nullptr || worker->isInStoredList || worker->info.address != address)
             continue;
         worker->isInStoredList = true;
+        state.noteWorkerChanged(*worker);
         state.isDispatchWanted = true;
     }
     state.committingWorkers.clear();
--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -143,7 +143,7 @@
 public:
     explicit dispatch_pass(scheduler_state &state)
         : m_state(state)
-        , m_chooser(state)
+        , m_chooser(refreshedChooser(state))
     { }
 
     /// Returns true if the pass ended because it reached the maximum number of starts.
@@ -248,7 +248,7 @@
     }
 
     scheduler_state &m_state;
-    worker_chooser m_chooser;
+    worker_chooser &m_chooser;
     bool m_isUtilisationLow = false;
     int m_starts = 0;
 };
--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -1,5 +1,6 @@
 #include "pace_control.h"
 
+#include "discovery_age.h"
 #include "task_lifecycle.h"
 #include "worker_choice.h"
 
@@ -179,13 +180,21 @@
                                         [&](const answer &a) { return isSameKind(*a.run, run); });
         if (known != m_answers.end())
             return known->hasTarget;
-        const worker_record *target
-            = chooseWorker(m_state, {run.step, run.job->policy.service, nullptr, rack_id(), 1});
+        const worker_record *target = choose(run);
         m_answers.push_back({&run, target != nullptr && target != &m_from});
         return m_answers.back().hasTarget;
     }
 
 private:
+    // Starts may be held back now, and a run that is stopped to be moved could then not start.
+    const worker_record *choose(const bound_run &run)
+    {
+        if (areWorkersOutdated(m_state))
+            return nullptr;
+        return refreshedChooser(m_state).choose(
+            {run.step, run.job->policy.service, nullptr, rack_id(), 1});
+    }
+
     struct answer
     {
         const bound_run *run;
--- a/packages/scheduler/run_binding.cpp
+++ b/packages/scheduler/run_binding.cpp
@@ -76,6 +76,7 @@
         bound.serving = &addServing(state, worker, step);
     worker.committed = worker.committed + reservedBy(step);
     updateBudgets(state, worker);
+    state.noteWorkerChanged(worker);
     state.noteRunsChanged(worker);
 }
 
@@ -91,6 +92,7 @@
         removeServing(worker, step);
     worker.committed = worker.committed - reservedBy(step);
     updateBudgets(state, worker);
+    state.noteWorkerChanged(worker);
     // Finite tasks need no update of the leaving record while other runs remain: a record that
     // still names a task that is done holds back nothing.
     if (step.isContinuous || worker.runs.empty())
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -7,10 +7,12 @@
 #include "job_intake.h"
 #include "scheduler_state.h"
 #include "task_lifecycle.h"
+#include "worker_choice.h"
 #include "worker_reports.h"
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace crocuswind::scheduler {
 
@@ -25,6 +27,27 @@
 
 } // namespace
 
+void scheduler_state::noteWorkerChanged(worker_record &worker)
+{
+    if (!std::exchange(worker.isChangeNoted, true))
+        changedWorkers.push_back(&worker);
+}
+
+std::map<worker_id, worker_record>::iterator
+scheduler_state::removeWorker(std::map<worker_id, worker_record>::iterator worker)
+{
+    discardChooser();
+    return workers.erase(worker);
+}
+
+void scheduler_state::discardChooser()
+{
+    chooser.reset();
+    for (worker_record *worker : changedWorkers)
+        worker->isChangeNoted = false;
+    changedWorkers.clear();
+}
+
 void scheduler_state::noteRunsChanged(const worker_record &worker)
 {
     if (!worker.info.isDraining && !worker.mayHaveLeavingRecord)
@@ -126,6 +149,7 @@
         state.leavingDue.clear();
         state.committingWorkers.clear();
         state.committingLeaving.clear();
+        state.discardChooser();
         state.workers.clear();
         state.workersAsOf = {};
         state.areStartsHeld = false;
@@ -146,7 +170,7 @@
                 if (worker.mayHaveLeavingRecord)
                     state.scheduleLeavingRecord(i->first, state.now);
             }
-            i = isGone ? state.workers.erase(i) : std::next(i);
+            i = isGone ? state.removeWorker(i) : std::next(i);
         }
     }
 
@@ -209,6 +233,9 @@
 void scheduler_core::setAuthority(instant now, instant authorityUntil, instant exclusiveUntil)
 {
     m_implementation->setNow(now);
+    // All workers become eligible again that a lapse of the exclusive ownership had excluded.
+    if (now >= m_implementation->state.exclusiveUntil)
+        m_implementation->state.discardChooser();
     m_implementation->state.authorityUntil = authorityUntil;
     m_implementation->state.exclusiveUntil = exclusiveUntil;
     m_implementation->runFollowUps();
@@ -252,6 +279,8 @@
         i.state.isWorkerListDirty = true;
         worker.isInStoredList = false;
     }
+    if (isNew)
+        i.state.discardChooser();
     if (isNew)
         worker.mayHaveLeavingRecord = isLeavingRecordPending(i.state, info.id);
     const bool isOtherIncarnation = info.incarnationStartUnixMs != 0
@@ -266,7 +295,10 @@
                           fmt::format("worker={} runs={}", info.id.value, worker.runs.size()));
     const bool isDrainingChanged = worker.info.isDraining != info.isDraining;
     worker.isListed = true;
+    if (worker.info.service != info.service)
+        i.state.discardChooser();
     worker.info = info;
+    i.state.noteWorkerChanged(worker);
     if (isDrainingChanged)
         i.state.scheduleLeavingRecord(info.id, now);
     if (info.isDraining && i.state.isOwner)
@@ -284,6 +316,7 @@
     if (worker == nullptr)
         return;
     worker->isListed = false;
+    i.state.noteWorkerChanged(*worker);
     i.state.ports.log("worker_gone",
                       fmt::format("worker={} runs={}", id.value, worker->runs.size()));
     i.runFollowUps();
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -16,6 +16,8 @@
 
 namespace crocuswind::scheduler {
 
+class worker_chooser;
+
 /// A completion that may be acknowledged to its worker once the job's progress is durable.
 struct pending_completion
 {
@@ -76,6 +78,8 @@
     std::set<job_name> unstartedJobs;
     std::int64_t lastJobNumber = 0;
     std::map<worker_id, worker_record> workers;
+    std::shared_ptr<worker_chooser> chooser; ///< Must be discarded before a worker is removed.
+    std::vector<worker_record *> changedWorkers; ///< Changed since the last refresh of `chooser`.
     instant workersAsOf; ///< All changes that service discovery accepted before it are known.
     bool areStartsHeld = false; ///< No task is started because the list of workers is too old.
     unreported_workers unreportedWorkers;
@@ -117,6 +121,15 @@
 
     scheduler_counters counters;
 
+    /// Records that the free resources, the interference budgets or the eligibility of the worker
+    /// have changed.
+    void noteWorkerChanged(worker_record &worker);
+    /// Discards the chooser, which is built anew when it is needed.
+    void discardChooser();
+    /// Removes a worker. Returns the position behind it.
+    std::map<worker_id, worker_record>::iterator
+    removeWorker(std::map<worker_id, worker_record>::iterator worker);
+
     /// Schedules an update of the worker's leaving record after its set of possible runs has
     /// changed. Does nothing for workers that are not leaving and have no such record.
     void noteRunsChanged(const worker_record &worker);
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -42,6 +42,14 @@
 /// tasks went to any worker whose serving tasks could just tolerate them.
 constexpr double pressureCost = 20000;
 
+/// The chooser is built anew after this time, so that it follows what the interference model
+/// learns.
+constexpr duration chooserLifetime = 1s;
+
+/// A heap with more candidates than this multiple of the number of workers consists mostly of stale
+/// ones and is built anew.
+constexpr std::size_t maxCandidatesPerWorker = 4;
+
 constexpr double infiniteCost = std::numeric_limits<double>::infinity();
 
 bool hasLabel(const worker_info &info, const std::string &label)
@@ -208,13 +216,48 @@
     return best;
 }
 
+worker_chooser &refreshedChooser(scheduler_state &state)
+{
+    if (!state.chooser || state.chooser->isOutdated())
+        state.chooser = std::make_shared<worker_chooser>(state);
+    state.chooser->refresh();
+    return *state.chooser;
+}
+
 worker_chooser::worker_chooser(scheduler_state &state)
     : m_state(state)
+    , m_builtAt(state.now)
 {
     for (auto &[id, worker] : state.workers) {
-        if (isEligible(state, worker))
-            m_pools[worker.info.service].workers.push_back({&worker, freeCapacityOf(worker), 0});
+        m_pools[worker.info.service].workers.push_back(
+            {&worker, freeCapacityOf(worker), isEligible(state, worker), 0});
+        worker.isChangeNoted = false;
+        if (worker.avoidedUntil > state.now)
+            m_avoided.emplace(worker.avoidedUntil, &worker);
     }
+    state.changedWorkers.clear();
+}
+
+bool worker_chooser::isOutdated() const
+{
+    return m_state.now - m_builtAt >= chooserLifetime;
+}
+
+void worker_chooser::refresh()
+{
+    while (!m_avoided.empty() && m_avoided.begin()->first <= m_state.now) {
+        m_state.noteWorkerChanged(*m_avoided.begin()->second);
+        m_avoided.erase(m_avoided.begin());
+    }
+    for (worker_record *worker : m_state.changedWorkers) {
+        worker->isChangeNoted = false;
+        recordChange(*worker);
+    }
+    if (m_state.changedWorkers.empty())
+        return;
+    m_state.changedWorkers.clear();
+    for (auto &[service, pool] : m_pools)
+        pool.unplaceable.clear();
 }
 
 worker_record *worker_chooser::choose(const worker_request &request)
@@ -223,28 +266,47 @@
     if (pool == m_pools.end())
         return nullptr;
     request_kind &kind = kindOf(pool->second, request);
+    if (!kind.isBuilt && isUnplaceable(pool->second, keyOf(request)))
+        return nullptr;
+    updateHeap(pool->second, kind, request);
     if (kind.isUnplaceable)
         return nullptr;
-    applyStarts(pool->second, kind, request);
     worker_record *best = takeBest(pool->second, kind, request);
     if (kind.heap.empty()) {
         kind.isUnplaceable = true;
-        pool->second.unplaceable.push_back(keyOf(request));
-        pool->second.unplaceable.back().preferredRack = {};
+        kind_key key = keyOf(request);
+        key.image = kind.image;
+        key.requiredLabel = kind.requiredLabel;
+        key.preferredRack = {};
+        pool->second.unplaceable.push_back(key);
     }
     return best;
 }
 
-void worker_chooser::noteStart(const worker_record &worker)
+void worker_chooser::noteStart(worker_record &worker)
 {
-    worker_pool &pool = m_pools.at(worker.info.service);
-    const auto found = std::lower_bound(pool.workers.begin(), pool.workers.end(), worker.info.id,
+    recordChange(worker);
+}
+
+// Records the present state of a worker. Candidates of its former state become stale.
+void worker_chooser::recordChange(worker_record &worker)
+{
+    if (worker.avoidedUntil > m_state.now)
+        m_avoided.emplace(worker.avoidedUntil, &worker);
+    const auto found = m_pools.find(worker.info.service);
+    if (found == m_pools.end())
+        return;
+    worker_pool &pool = found->second;
+    const auto entry = std::lower_bound(pool.workers.begin(), pool.workers.end(), worker.info.id,
                                         [](const eligible_worker &eligible, const worker_id &id) {
                                             return eligible.record->info.id < id;
                                         });
-    found->freeCapacity = freeCapacityOf(worker);
-    ++found->version;
-    pool.starts.push_back(int(found - pool.workers.begin()));
+    if (entry == pool.workers.end() || entry->record != &worker)
+        return;
+    entry->freeCapacity = freeCapacityOf(worker);
+    entry->isEligible = isEligible(m_state, worker);
+    ++entry->version;
+    pool.changes.push_back(int(entry - pool.workers.begin()));
 }
 
 worker_chooser::kind_key worker_chooser::keyOf(const worker_request &request)
@@ -285,20 +347,27 @@
     if (found != pool.kinds.end())
         return *found->second;
     request_kind &kind = pool.kindStore.emplace_back();
-    kind.preferredRack = request.preferredRack;
-    key.preferredRack = kind.preferredRack.value;
+    kind.image = key.image;
+    kind.requiredLabel = key.requiredLabel;
+    kind.preferredRack = key.preferredRack;
+    key.image = kind.image;
+    key.requiredLabel = kind.requiredLabel;
+    key.preferredRack = kind.preferredRack;
     pool.kinds.emplace(key, &kind);
-    kind.startsSeen = pool.starts.size();
-    kind.isUnplaceable = isUnplaceable(pool, key);
-    if (kind.isUnplaceable)
-        return kind;
+    return kind;
+}
+
+void worker_chooser::buildHeap(worker_pool &pool, request_kind &kind, const worker_request &request)
+{
+    kind.isBuilt = true;
+    kind.changesSeen = pool.changes.size();
+    kind.heap.clear();
     if (request.step->isBestEffort)
         kind.coefficients = m_state.interference.coefficientsOf(request.step->image);
     kind.heap.reserve(pool.workers.size());
     for (int worker = 0; worker < int(pool.workers.size()); ++worker)
         addCandidate(pool, kind, request, worker);
     std::make_heap(kind.heap.begin(), kind.heap.end(), costsMore);
-    return kind;
 }
 
 // Appends the worker to the heap's storage if it can take the request. The caller must restore the
@@ -308,6 +377,8 @@
 {
     ++m_state.counters.workersExamined;
     const eligible_worker &eligible = pool.workers[std::size_t(worker)];
+    if (!eligible.isEligible)
+        return;
     if (!hasCapacityFor(*request.step, eligible.freeCapacity)
         || !hasRequiredLabel(*request.step, *eligible.record))
         return;
@@ -315,13 +386,13 @@
                          eligible.version, false});
 }
 
-// Adds new candidates for the workers on which tasks were started since the last call. Their
-// previous candidates remain in the heap, but are recognised as stale by their version.
-void worker_chooser::applyStarts(worker_pool &pool, request_kind &kind,
-                                 const worker_request &request)
+// Adds new candidates for the workers that have changed since the last call. Their previous
+// candidates remain in the heap, but are recognised as stale by their version.
+void worker_chooser::applyChanges(worker_pool &pool, request_kind &kind,
+                                  const worker_request &request)
 {
-    for (; kind.startsSeen < pool.starts.size(); ++kind.startsSeen) {
-        const int worker = pool.starts[kind.startsSeen];
+    for (; kind.changesSeen < pool.changes.size(); ++kind.changesSeen) {
+        const int worker = pool.changes[kind.changesSeen];
         const std::size_t size = kind.heap.size();
         addCandidate(pool, kind, request, worker);
         if (kind.heap.size() > size)
@@ -330,6 +401,19 @@
     }
 }
 
+void worker_chooser::updateHeap(worker_pool &pool, request_kind &kind,
+                                const worker_request &request)
+{
+    const std::size_t unseen = pool.changes.size() - kind.changesSeen;
+    const bool isMostlyStale
+        = kind.heap.size() + unseen > maxCandidatesPerWorker * pool.workers.size();
+    if (!kind.isBuilt || isMostlyStale)
+        buildHeap(pool, kind, request);
+    else
+        applyChanges(pool, kind, request);
+    kind.isUnplaceable = kind.heap.empty();
+}
+
 // Updates the coefficients if a start has added a serving image to the model after they were read.
 void worker_chooser::updateCoefficients(const worker_record &worker, request_kind &kind,
                                         const worker_request &request) const
@@ -353,7 +437,10 @@
     while (!heap.empty() && best == nullptr) {
         candidate first = heap.front();
         const eligible_worker &eligible = pool.workers[std::size_t(first.worker)];
-        const bool isUpToDate = first.version == eligible.version;
+        // A worker may have become ineligible since the refresh, and is offered again after its
+        // next change.
+        const bool isUpToDate
+            = first.version == eligible.version && isEligible(m_state, *eligible.record);
         const bool isFull = isUpToDate && isAtTaskLimit(request, *eligible.record);
         if (isUpToDate && first.isExact && !isFull) {
             best = eligible.record;
--- a/packages/scheduler/worker_choice.h
+++ b/packages/scheduler/worker_choice.h
@@ -34,6 +34,9 @@
 /// (best fit), so that large gaps remain for large tasks.
 worker_record *chooseWorker(scheduler_state &state, const worker_request &request);
 
+/// Returns the chooser of the scheduler, created anew or refreshed.
+worker_chooser &refreshedChooser(scheduler_state &state);
+
 /// The free capacity of a worker, cached over several choices.
 struct free_capacity
 {
@@ -42,24 +45,33 @@
     bool acceptsBestEffort = false; ///< No serving task on the worker is near its latency target.
 };
 
-/// Makes many choices during one dispatch pass. Each choice is the same that chooseWorker() would
-/// make, but workers are examined once per kind of request instead of once per request. Between two
-/// choices the workers may change only by starts, which reduce the free capacity of a worker and
-/// never make one eligible.
+/// Makes many choices without a scan of all workers for each. A choice is the same that
+/// chooseWorker() would make, as of the last refresh() and the starts recorded since. Workers are
+/// examined once per kind of request, and again only after they have changed.
+///
+/// It keeps pointers to the workers: it must be discarded when one is removed.
 class worker_chooser
 {
 public:
     explicit worker_chooser(scheduler_state &state);
 
+    /// Takes over the changes of all workers that scheduler_state::noteWorkerChanged() has recorded
+    /// since the last call.
+    void refresh();
+
     /// Returns the best eligible worker, or null if there is none.
     worker_record *choose(const worker_request &request);
 
     /// Records that a run was bound to the worker, which must be a result of choose().
-    void noteStart(const worker_record &worker);
+    void noteStart(worker_record &worker);
+
+    /// Returns true once the chooser has to be built anew, because the interference model may have
+    /// changed much since.
+    bool isOutdated() const;
 
 private:
     /// The properties that determine the cost of a worker. Requests with equal keys are of one
-    /// kind. The string views refer to steps, which outlive the chooser, and to request_kind.
+    /// kind. The string views of a key that is stored refer to its request_kind.
     struct kind_key
     {
         resources size;
@@ -93,28 +105,33 @@
 
     struct request_kind
     {
-        rack_id preferredRack; ///< Owns the text that the kind's key refers to.
-        bool isUnplaceable = false; ///< No worker can take a task of this kind any more.
+        // The texts that the kind's key refers to.
+        std::string image;
+        std::string requiredLabel;
+        std::string preferredRack;
+        bool isUnplaceable = false; ///< No worker can take a task of this kind.
+        bool isBuilt = false; ///< The heap has been filled once.
         std::vector<double> coefficients; ///< Of the image, for best-effort requests.
         std::vector<candidate> heap; ///< Min-heap by cost.
-        std::size_t startsSeen = 0; ///< Number of the pool's starts that the heap reflects.
+        std::size_t changesSeen = 0; ///< Number of the pool's changes that the heap reflects.
     };
 
     struct eligible_worker
     {
         worker_record *record = nullptr;
         free_capacity freeCapacity;
-        int version = 0; ///< Number of recorded starts on the worker.
+        bool isEligible = false;
+        int version = 0; ///< Number of recorded changes of the worker.
     };
 
-    /// The eligible workers of a service.
+    /// The workers of a service.
     struct worker_pool
     {
         std::vector<eligible_worker> workers; ///< Sorted by identifier.
-        std::vector<int> starts; ///< Index of the worker of each start, in order of the starts.
+        std::vector<int> changes; ///< Index of the changed worker, in order of the changes.
         std::deque<request_kind> kindStore;
         std::map<kind_key, request_kind *> kinds;
-        std::vector<kind_key> unplaceable; ///< Kinds that no worker can take any more.
+        std::vector<kind_key> unplaceable; ///< Kinds that no worker can take since the refresh.
     };
 
     static bool costsMore(const candidate &a, const candidate &b)
@@ -128,10 +145,16 @@
                       int worker);
     void updateCoefficients(const worker_record &worker, request_kind &kind,
                             const worker_request &request) const;
-    void applyStarts(worker_pool &pool, request_kind &kind, const worker_request &request);
+    void buildHeap(worker_pool &pool, request_kind &kind, const worker_request &request);
+    void applyChanges(worker_pool &pool, request_kind &kind, const worker_request &request);
+    void updateHeap(worker_pool &pool, request_kind &kind, const worker_request &request);
+    void recordChange(worker_record &worker);
     worker_record *takeBest(worker_pool &pool, request_kind &kind, const worker_request &request);
 
     scheduler_state &m_state;
+    instant m_builtAt;
+    /// Workers that are avoided for a limited time, by the end of that time.
+    std::multimap<instant, worker_record *> m_avoided;
     std::map<service_id, worker_pool> m_pools;
 };
 
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -232,6 +232,7 @@
     /// are cached because the choice of a worker examines all workers, and querying the model for
     /// each took most of the owner's processor time.
     std::vector<interference_budget> budgets;
+    bool isChangeNoted = false; ///< The worker is among scheduler_state::changedWorkers.
     // Polls.
     std::uint64_t lastPoll = 0;
     bool isPollInFlight = false; ///< A poll is in flight.
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -376,6 +376,7 @@
         worker->lastReportAt = state.now;
         handleReport(state, *worker, command, result.report);
         controlPace(state, *worker);
+        state.noteWorkerChanged(*worker);
         evacuateWorker(state, *worker);
         scheduleNextPoll(state, *worker);
         return;
--- a/test/performance/jobs_owner_process_benchmark.cpp
+++ b/test/performance/jobs_owner_process_benchmark.cpp
@@ -23,6 +23,8 @@
 constexpr duration runTime = 1500ms;
 constexpr duration warmUp = 3s;
 constexpr int tasksOfJob = 20;
+constexpr int lastingImages = 5;
+constexpr int finiteKinds = 16;
 
 int freePort(event_loop &loop)
 {
@@ -93,9 +95,33 @@
             std::vector<std::string>{"CROCUSWIND_NODE_FILE=" + settings});
     }
 
+    // Places lasting tasks with a latency target on every second worker.
+    void submitLasting()
+    {
+        for (int image = 0; image < lastingImages; ++image) {
+            const json step = {{"count", int(workers.size()) / 2 / lastingImages},
+                               {"cpu", 2000},
+                               {"memMb", 1000},
+                               {"longRunning", true},
+                               {"antiAffinity", 1},
+                               {"targetMs", 100},
+                               {"image", fmt::format("serving-{}", image)}};
+            send(step, "lasting" + std::string(600, 'x'));
+        }
+    }
+
+    // Submits a job of one of several kinds; three of four use what serving tasks leave.
     void submit()
     {
-        const json step = {{"count", tasksOfJob}, {"cpu", 100}, {"memMb", 100}, {"estimateMs", 1500}};
+        const int kind = int(lastJob % finiteKinds);
+        const json step = {{"count", tasksOfJob},    {"cpu", 100 * (1 + kind % 3)},
+                           {"memMb", 100},           {"estimateMs", 1500},
+                           {"fills", kind % 4 != 0}, {"image", fmt::format("filling-{}", kind)}};
+        send(step, std::string(600, 'x'));
+    }
+
+    void send(const json &step, const std::string &payload)
+    {
         http_call call;
         call.to = callers;
         call.method = "POST";
@@ -103,7 +129,8 @@
         call.headers = {{"Host", "jobs.example"},
                         {"Deadline-Ms", "3000"},
                         {"Content-Type", "application/json"}};
-        call.body = json{{"spec", std::string(600, 'x')}, {"steps", {step}}}.dump();
+        const json body = {{"spec", payload}, {"steps", json::array({step})}};
+        call.body = body.dump();
         call.deadline = loop.now() + 3s;
         client.send(std::move(call), [this](const http_result &result) {
             accepted += result.status / 100 == 2 ? 1 : 0;
@@ -155,6 +182,8 @@
     site.startHost();
     fmt::print("host process {}\n", site.host->id());
     std::fflush(stdout);
+    site.load(1s, 0);
+    site.submitLasting();
     site.load(warmUp, startsPerSecond / tasksOfJob);
     const std::int64_t startsBefore = site.starts();
     const processor_time before = readProcessorTime(site.host->id());
--- a/test/standin/platform_site.cpp
+++ b/test/standin/platform_site.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// The latency that lasting tasks report.
+constexpr int lastingLatencyMs = 40;
+
 constexpr duration tickInterval = 10ms;
 
 http_response answer(int status, const json &body = json::object())
@@ -317,7 +320,8 @@
     const auto found = m_runs.find(task);
     if (found == m_runs.end() || found->second.run != run) {
         ++m_starts[task];
-        m_runs[task] = {run, m_loop.now() + m_runTime};
+        const bool isLasting = body.value("spec", "").rfind("lasting", 0) == 0;
+        m_runs[task] = {run, m_loop.now() + m_runTime, isLasting};
     }
     return answer(200, {{"clockMs", clockMs()}});
 }
@@ -345,7 +349,8 @@
     m_completedRuns = ended;
     json running = json::array();
     for (const auto &[task, run] : m_runs)
-        running.push_back({task, run.run, "", 50, 0});
+        running.push_back(
+            {task, run.run, "", run.isLasting ? 100 : 50, run.isLasting ? lastingLatencyMs : 0});
     return answer(200,
                   {{"clockMs", clockMs()}, {"born", 1}, {"running", running}, {"ended", ended}});
 }
@@ -353,7 +358,7 @@
 void platform_worker::tick()
 {
     for (auto i = m_runs.begin(); i != m_runs.end();) {
-        if (i->second.endsAt > m_loop.now()) {
+        if (i->second.isLasting || i->second.endsAt > m_loop.now()) {
             ++i;
             continue;
         }
--- a/test/standin/platform_site.h
+++ b/test/standin/platform_site.h
@@ -84,7 +84,8 @@
     timer_id m_timer = 0;
 };
 
-/// A worker of the platform. Every task succeeds after a fixed run time.
+/// A worker of the platform. Every task succeeds after a fixed run time, apart from those whose
+/// payload begins with `lasting`: they run until they are stopped and report a latency.
 class platform_worker
 {
 public:
@@ -104,6 +105,7 @@
     {
         int run = 0;
         instant endsAt;
+        bool isLasting = false;
     };
     struct waiting_poll
     {
