Let other hosts send the owner's commands to workers

Change: the owner decides as before and leaves the calls to relays: hosts that offer themselves over their link to the owner, large ones and those of the worker's data centre first (relay_assignment, pure). Commands and results of a round share a CBOR message. A worker hears from one relay at a time; its route is a part of the fencing token, so that nothing of a former relay can take effect after the worker has heard from the present one. A command that arrives more than 400 ms late at a relay is not sent; one whose relay is lost or silent has an unknown outcome, which the scheduler settles as before. A fleet that an owner can serve itself (500 workers for each of its cores) uses no relays. Hosts accept 2,000 links in place of 256, since all hosts keep one to the owner.

--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -1,7 +1,9 @@
 #include "job_host.h"
 
+#include "command_relay.h"
 #include "load_report.h"
 #include "prefix_mirror.h"
+#include "relayed_worker_link.h"
 
 #include <ctime>
 #include <fmt/format.h>
@@ -22,9 +24,15 @@
 // The store reports that the owner's key is unchanged after this time without a change.
 constexpr duration ownerWatchMaxSilence = 1500ms;
 
-// The first byte of a frame between entry hosts tells calls from replies.
+// The first byte of a frame between entry hosts tells its kind.
 constexpr char callFrameTag = 'C';
 constexpr char replyFrameTag = 'R';
+constexpr char offerFrameTag = 'O'; ///< Offer to relay commands.
+constexpr char commandsFrameTag = 'W'; ///< Commands to relay.
+constexpr char resultsFrameTag = 'V'; ///< Results of relayed commands.
+
+/// All hosts keep a link to the owner.
+constexpr std::size_t maxAcceptedLinks = 2000;
 
 // Delay before a failed read of the former owner's records is repeated.
 constexpr duration recordsRetryInterval = 100ms;
@@ -64,11 +72,18 @@
                    metrics_registry &m, job_host_settings hostSettings, job_host_callbacks c)
         : loop(l)
         , platformStore(s)
-        , workers(w)
         , metrics(m)
         , settings(std::move(hostSettings))
         , callbacks(std::move(c))
         , hello(settings.host)
+        , workers(l, w, settings.milliCores,
+                  [this](const host_id &relayHost, const std::string &bytes) {
+                      return sendFrame(relayHost, commandsFrameTag, bytes);
+                  })
+        , relay(l, w,
+                [this](const host_id &owner, const std::string &bytes) {
+                    sendFrame(owner, resultsFrameTag, bytes);
+                })
         , core(settings.scheduler, *this)
         , election(electionSettings(settings), *this)
         , loadReport(l, schedulerLog, m, core)
@@ -76,8 +91,8 @@
               l,
               [this](const host_id &owner, const job_call &call) { return sendCall(owner, call); })
         , links(l, linkSettings(settings), hello, random,
-                {[this](const host_id &peer) { router.onHostReachable(peer); },
-                 [this](const host_id &peer) { router.onHostUnreachable(peer); },
+                {[this](const host_id &peer) { onLinkUp(peer); },
+                 [this](const host_id &peer) { onLinkDown(peer); },
                  [this](const host_id &peer, std::string_view frame) { onFrame(peer, frame); }})
     { }
 
@@ -107,6 +122,7 @@
         links.receiveTimeout = peerSilenceTimeout;
         links.handshakeTimeout = 1s;
         links.maxRetryDelay = 500ms;
+        links.maxAcceptedLinks = maxAcceptedLinks;
         return links;
     }
 
@@ -215,6 +231,7 @@
         loop.cancel(readTimer);
         const bool wasOwner = core.isOwner();
         core.giveUp(loop.now());
+        workers.reset();
         if (wasOwner)
             callbacks.ownershipChanged(false);
         router.onHostUnreachable(settings.host);
@@ -224,6 +241,7 @@
     {
         schedulerLog.info("event=owner host={} epoch={}", owner ? owner->host.value : "none",
                           owner ? owner->epoch : 0);
+        knownOwner = owner ? owner->host : host_id();
         std::vector<peer_address> peers;
         if (owner && owner->host != settings.host) {
             if (const auto endpoint = parseEndpoint(owner->address))
@@ -232,7 +250,37 @@
         links.setPeers(peers);
         router.setOwner(owner ? std::optional<host_id>(owner->host) : std::nullopt);
         if (owner && owner->host != settings.host && links.isUp(owner->host))
-            router.onHostReachable(owner->host);
+            onLinkUp(owner->host);
+    }
+
+    // Links to other entry hosts.
+
+    bool sendFrame(const host_id &peer, char tag, const std::string &bytes)
+    {
+        return links.send(peer, tag + bytes) == peer_send_result::queued;
+    }
+
+    void onLinkUp(const host_id &peer)
+    {
+        router.onHostReachable(peer);
+        if (peer == knownOwner)
+            sendOffer();
+    }
+
+    void onLinkDown(const host_id &peer)
+    {
+        router.onHostUnreachable(peer);
+        relay.onOwnerLost(peer);
+        workers.onHostLost(peer);
+        scheduleCore();
+    }
+
+    // Offers to the owner to relay its commands to workers, or withdraws the offer.
+    void sendOffer()
+    {
+        if (!knownOwner.empty() && knownOwner != settings.host)
+            sendFrame(knownOwner, offerFrameTag,
+                      encodeOffer({!isDraining, settings.dataCentre, settings.milliCores}));
     }
 
     void onCommitted() override
@@ -281,6 +329,7 @@
         std::vector<stored_record> records;
         for (const store_entry &entry : result->entries)
             records.push_back({entry.key, entry.value});
+        workers.reset();
         core.setAuthority(loop.now(), authorityUntil, exclusiveUntil);
         core.takeOver(loop.now(), unixNowMs(), epoch, records,
                       electedAt + election_settings().authorityLimit);
@@ -313,19 +362,40 @@
 
     void onFrame(const host_id &peer, std::string_view frame)
     {
-        if (frame.empty())
-            return;
-        if (frame.front() == callFrameTag) {
-            if (const auto call = decodeCall(frame.substr(1)))
-                handleCall(peer, *call);
-            else
-                schedulerLog.warning("event=bad_frame peer={}", peer.value);
-        } else if (frame.front() == replyFrameTag) {
-            if (const auto reply = decodeReply(frame.substr(1)))
-                router.onReply(peer, *reply);
+        if (!frame.empty() && !handleFrame(peer, frame.front(), frame.substr(1)))
+            schedulerLog.warning("event=bad_frame peer={} bytes={}", peer.value, frame.size());
+    }
+
+    // Returns false if the frame is malformed.
+    bool handleFrame(const host_id &peer, char tag, std::string_view bytes)
+    {
+        switch (tag) {
+        case callFrameTag:
+            return handleDecoded(decodeCall(bytes),
+                                 [&](const job_call &call) { handleCall(peer, call); });
+        case replyFrameTag:
+            return handleDecoded(decodeReply(bytes),
+                                 [&](const job_reply &reply) { router.onReply(peer, reply); });
+        case offerFrameTag:
+            return handleDecoded(decodeOffer(bytes),
+                                 [&](const relay_offer &offer) { workers.onOffer(peer, offer); });
+        case commandsFrameTag:
+            return relay.onCommands(peer, bytes);
+        case resultsFrameTag:
+            return workers.onResults(bytes);
+        default:
+            return false;
         }
     }
 
+    template <class value, class function>
+    static bool handleDecoded(const std::optional<value> &decoded, function handle)
+    {
+        if (decoded)
+            handle(*decoded);
+        return decoded.has_value();
+    }
+
     // Timers.
 
     void scheduleCore()
@@ -364,12 +434,13 @@
 
     event_loop &loop;
     store &platformStore;
-    worker_link &workers;
     metrics_registry &metrics;
     job_host_settings settings;
     job_host_callbacks callbacks;
     logger schedulerLog{"scheduler"};
     name_hello hello;
+    relayed_worker_link workers;
+    command_relay relay;
     scheduler_core core;
     owner_election election;
     load_report loadReport;
@@ -383,6 +454,8 @@
     instant electedAt;
     instant handoverDeadline;
     bool wasCoreOwner = false;
+    bool isDraining = false;
+    host_id knownOwner; ///< Empty if no host owns the jobs.
     timer_id coreTimer = 0;
     timer_id electionTimer = 0;
     timer_id handoverTimer = 0;
@@ -441,12 +514,14 @@
 
 void job_host::onWorker(const worker_info &info)
 {
+    m_implementation->workers.onWorker(info);
     m_implementation->core.onWorker(m_implementation->loop.now(), info);
     m_implementation->scheduleCore();
 }
 
 void job_host::onWorkerGone(const worker_id &worker)
 {
+    m_implementation->workers.onWorkerGone(worker);
     m_implementation->core.onWorkerGone(m_implementation->loop.now(), worker);
     m_implementation->scheduleCore();
 }
@@ -468,6 +543,8 @@
     implementation &i = *m_implementation;
     constexpr duration handoverTimeout = 1500ms;
     i.handoverDeadline = i.loop.now() + handoverTimeout;
+    i.isDraining = true;
+    i.sendOffer();
     i.election.setEligible(i.loop.now(), false);
     i.pollHandover();
 }
--- a/packages/jobs/job_host.h
+++ b/packages/jobs/job_host.h
@@ -19,6 +19,8 @@
 struct job_host_settings
 {
     host_id host;
+    data_centre_id dataCentre;
+    std::int64_t milliCores = 0; ///< Processors of this host, in thousandths of a core.
     ip_endpoint peerListen; ///< Where this host accepts connections of other entry hosts.
     scheduler::scheduler_settings scheduler;
     scheduler::election_settings election; ///< job_host sets host, address and key prefix.
--- a/packages/jobs/worker_link.h
+++ b/packages/jobs/worker_link.h
@@ -5,6 +5,7 @@
 #include "scheduler/scheduler.h"
 
 #include <functional>
+#include <string>
 
 namespace crocuswind {
 
@@ -18,6 +19,9 @@
 
     virtual ~worker_link() = default;
 
+    /// Sets the address of a worker, which a poll command sets as well. A command to a worker
+    /// without an address is not sent.
+    virtual void setAddress(const worker_id &worker, const std::string &address) = 0;
     /// Starts a run.
     virtual void start(const scheduler::start_command &command, command_callback done) = 0;
     /// Stops a run.
--- a/packages/scheduler/record_codec.cpp
+++ b/packages/scheduler/record_codec.cpp
@@ -1,50 +1,14 @@
 #include "record_codec.h"
 
-#include <limits>
-#include <nlohmann/json.hpp>
-#include <stdexcept>
-#include <type_traits>
+#include "cbor_values.h"
+
 #include <utility>
 
 namespace crocuswind::scheduler {
 
 namespace {
 
-using nlohmann::json;
-
-/// Limit of the nesting depth. Progress records have six levels: record, occurrences, occurrence,
-/// rows, row, failed runs.
-constexpr std::size_t maxDepth = 8;
-/// Limit of the number of values. A job with the largest steps stays below it, since a value of the
-/// store holds at most a megabyte.
-constexpr std::size_t maxValues = 1'000'000;
-
-// Reads a value of the field's type. Throws for a number out of the field's range, because a
-// conversion would silently change it.
-template <class value>
-void read(const json &j, value &field)
-{
-    if constexpr (std::is_integral_v<value> && !std::is_same_v<value, bool>) {
-        constexpr auto highest = std::uint64_t(std::numeric_limits<value>::max());
-        constexpr auto lowest = std::int64_t(std::numeric_limits<value>::min());
-        const bool isNegative = j.is_number_integer() && !j.is_number_unsigned();
-        const bool isInType = isNegative
-            ? j.get<std::int64_t>() >= lowest && j.get<std::int64_t>() < 0
-            : j.is_number_unsigned() && j.get<std::uint64_t>() <= highest;
-        if (!isInType)
-            throw std::out_of_range("number out of range for its field");
-    }
-    j.get_to(field);
-}
-
-void read(const json &j, std::vector<int> &numbers)
-{
-    if (!j.is_array())
-        throw std::out_of_range("expected an array of numbers");
-    numbers.clear();
-    for (const json &number : j)
-        read(number, numbers.emplace_back());
-}
+using namespace cbor_values;
 
 // Fields are stored as arrays in a fixed order to keep the records small. New fields may be added
 // at the end only.
@@ -106,42 +70,6 @@
     return spec;
 }
 
-std::string toBytes(const json &j)
-{
-    std::string bytes;
-    json::to_cbor(j, bytes);
-    return bytes;
-}
-
-json fromBytes(std::string_view bytes)
-{
-    return json::from_cbor(bytes.begin(), bytes.end(), true, false);
-}
-
-// Parses the bytes and converts them with \p read, which throws for unexpected content.
-template <class value, class reader>
-std::optional<value> decode(std::string_view bytes, reader read)
-{
-    if (checkCbor(bytes, maxDepth, maxValues))
-        return std::nullopt;
-    try {
-        const json j = fromBytes(bytes);
-        if (j.is_discarded())
-            return std::nullopt;
-        return read(j);
-    } catch (const std::exception &) {
-        return std::nullopt;
-    }
-}
-
-template <class value>
-value readAs(const json &j)
-{
-    value number = 0;
-    read(j, number);
-    return number;
-}
-
 bool isWorthStoring(const task_state &task)
 {
     return task.phase == task_phase::done || !task.failedRuns.empty() || !task.checkpoint.empty();
--- a/test/fuzz/scheduler_codec_fuzz_test.cpp
+++ b/test/fuzz/scheduler_codec_fuzz_test.cpp
@@ -140,3 +140,30 @@
     if (name)
         RC_ASSERT(!name->job.empty());
 }
+
+// Messages between an owner and its relays.
+TEST(CommandCodec, MutatedMessagesAreRefusedOrDecoded)
+{
+    relayed_commands commands;
+    start_command start;
+    start.worker.value = "w";
+    start.task = *parseTaskName("0123456789abcdef.0.1.2");
+    start.payload = "payload";
+    poll_command poll;
+    poll.worker.value = "w";
+    poll.leaseUntilMs = 5000;
+    commands.commands = {{1, "10.0.0.1:80", 800, start}, {2, "10.0.0.1:80", 800, poll}};
+    relayed_result result;
+    result.number = 1;
+    result.report.running = {{start.task, 1, "saved", 50, 7}};
+    result.report.completedRuns = {{3, start.task, 1, completion_reason::done, ""}};
+    const std::string samples[]
+        = {encodeCommands(commands), encodeResults({result}), encodeOffer({true, {"dc"}, 500})};
+    seeded_random random(20261205);
+    for (int i = 0; i < 20000; ++i) {
+        const std::string bytes = mutate(samples[std::size_t(i) % std::size(samples)], random);
+        decodeCommands(bytes);
+        decodeResults(bytes);
+        decodeOffer(bytes);
+    }
+}
