Take due polls from a queue, and store ends of jobs first

Cause: the owner scanned all workers every 5 ms for due polls. Under load up to 316 jobs waited for a commit on the large site, those that had ended behind progress that nobody waits for.

Change: due polls stand in a queue by time. A commit takes jobs with waiting callers first, then ended jobs, then the rest by age.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -17,8 +17,8 @@
 // Limits the leaving records in a batch so that entries for jobs remain.
 constexpr std::size_t maxLeavingRecords = 12;
 
-/// Jobs with waiting callers are written first, up to this many entries. The remaining entries of
-/// the batch are filled in the order in which jobs became dirty.
+/// Jobs with waiting callers and jobs that have ended are written first, up to this many entries.
+/// The remaining entries of the batch are filled in the order in which jobs became dirty.
 constexpr std::size_t maxCallerEntries = 22;
 
 // The pause after a batch that contained all changes lets the completions of several workers share
@@ -346,14 +346,24 @@
     state.waiters.erase(waiters);
 }
 
-// Adds dirty jobs with waiting callers, the oldest first.
-void addCallersJobs(scheduler_state &state, commit_batch &batch)
+bool hasCaller(const job_waiters &waiters)
+{
+    return !waiters.submissions.empty() || !waiters.cancellations.empty();
+}
+
+bool hasEnded(const scheduler_state &state, const job_name &name)
+{
+    const auto found = state.jobs.find(name);
+    return found != state.jobs.end() && found->second->finishedUnixMs != 0;
+}
+
+// Adds the dirty jobs that \p isMeant selects, the oldest first, up to \p limit entries.
+template <class predicate>
+void addJobs(scheduler_state &state, commit_batch &batch, std::size_t limit, predicate isMeant)
 {
     std::deque<job_name> others;
     for (job_name &name : state.dirtyJobs) {
-        const job_waiters &waiters = state.waiters.at(name);
-        const bool hasCaller = !waiters.submissions.empty() || !waiters.cancellations.empty();
-        if (hasCaller && fitsInBatch(batch, maxCallerEntries))
+        if (fitsInBatch(batch, limit) && isMeant(name))
             addToBatch(state, name, batch);
         else
             others.push_back(std::move(name));
@@ -361,13 +371,14 @@
     state.dirtyJobs = std::move(others);
 }
 
-void addOldestJobs(scheduler_state &state, commit_batch &batch)
+// Callers wait for the answers to their calls and for the ends of their jobs, so these come first.
+void addDirtyJobs(scheduler_state &state, commit_batch &batch)
 {
-    while (!state.dirtyJobs.empty() && fitsInBatch(batch, maxBatchEntries)) {
-        const job_name name = std::move(state.dirtyJobs.front());
-        state.dirtyJobs.pop_front();
-        addToBatch(state, name, batch);
-    }
+    addJobs(state, batch, maxCallerEntries,
+            [&](const job_name &name) { return hasCaller(state.waiters.at(name)); });
+    addJobs(state, batch, maxCallerEntries,
+            [&](const job_name &name) { return hasEnded(state, name); });
+    addJobs(state, batch, maxBatchEntries, [](const job_name &) { return true; });
 }
 
 } // namespace
@@ -413,8 +424,7 @@
         addWorkerList(state, batch);
     addLeavingRecords(state, batch);
     addModel(state, batch);
-    addCallersJobs(state, batch);
-    addOldestJobs(state, batch);
+    addDirtyJobs(state, batch);
     state.isCommitting = true;
     state.nextCommitAt = state.dirtyJobs.empty() ? state.now + commitInterval : state.now;
     ++state.counters.commits;
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -69,6 +69,7 @@
 void scheduler_state::schedulePoll(worker_record &worker, instant when)
 {
     worker.nextPollAt = when;
+    pollQueue.emplace(when, worker.info.id);
     nextPollScanAt = std::min(nextPollScanAt, when);
 }
 
@@ -150,6 +151,7 @@
         state.committingWorkers.clear();
         state.committingLeaving.clear();
         state.discardChooser();
+        state.pollQueue = {};
         state.workers.clear();
         state.workersAsOf = {};
         state.areStartsHeld = false;
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -7,8 +7,10 @@
 #include "unreported_workers.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <queue>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -35,6 +37,9 @@
     std::vector<pending_completion> completions;
 };
 
+/// When a worker is to be polled.
+using poll_time = std::pair<instant, worker_id>;
+
 /// A step that has tasks waiting to start.
 struct ready_step
 {
@@ -84,6 +89,9 @@
     bool areStartsHeld = false; ///< No task is started because the list of workers is too old.
     unreported_workers unreportedWorkers;
 
+    /// Times of polls with their workers, the earliest first. An entry counts only if it is the
+    /// worker's present `nextPollAt`.
+    std::priority_queue<poll_time, std::vector<poll_time>, std::greater<poll_time>> pollQueue;
     instant nextPollScanAt; ///< No worker is due for a poll before this time.
     instant nextReviewAt; ///< Next check for unanswered stops and lapsed leases.
     instant nextPruneAt; ///< Next removal of workers that have left.
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -36,6 +36,9 @@
 /// Poll interval of a replaced worker. Service discovery removes it within a few seconds.
 constexpr duration replacedPollInterval = 1s;
 
+/// Interval at which a worker without runs that service discovery does not list is looked at.
+constexpr duration goneWorkerInterval = 250ms;
+
 constexpr duration pollScanInterval = 5ms;
 
 /// Interval of the check for unanswered stop commands and lapsed leases.
@@ -314,16 +317,20 @@
 {
     if (state.now < state.nextPollScanAt)
         return;
-    instant next = state.now + idlePollInterval;
-    for (auto &[id, worker] : state.workers) {
-        if (worker.isPollInFlight)
+    while (!state.pollQueue.empty() && state.pollQueue.top().first <= state.now) {
+        const auto [due, id] = state.pollQueue.top();
+        state.pollQueue.pop();
+        worker_record *worker = state.findWorker(id);
+        // The result of a poll in flight schedules the next one.
+        if (worker == nullptr || worker->nextPollAt != due || worker->isPollInFlight)
             continue;
-        const bool isKnown = worker.isListed || !worker.runs.empty() || !worker.hasReported;
-        if (worker.nextPollAt <= state.now && isKnown)
-            sendPoll(state, worker);
-        else if (isKnown)
-            next = std::min(next, worker.nextPollAt);
+        if (worker->isListed || !worker->runs.empty() || !worker->hasReported)
+            sendPoll(state, *worker);
+        else
+            state.schedulePoll(*worker, state.now + goneWorkerInterval);
     }
+    const instant next
+        = state.pollQueue.empty() ? state.now + idlePollInterval : state.pollQueue.top().first;
     // With many workers a poll is due at almost any time. The minimum interval between scans
     // handles several polls in one scan.
     state.nextPollScanAt = std::max(next, state.now + pollScanInterval);
