Poll workers far from their latency targets less often on a large fleet

Cause: on the large site the owner handled 3,600 polls a second, most of them to read the latency of serving tasks every 400 ms on each worker, though the interference model learns enough from a thousand reports a second.

Change: the wait of such polls grows with the fleet from 400 ms to 1 s, except on workers where best-effort tasks are slowed down or a serving task or the pressure is above 0.7 of its limit.

--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -18,6 +18,11 @@
 constexpr double overTargetRatio = 1.0;
 constexpr double overTargetCut = 0.4;
 
+/// From this ratio of latency to target, or this pressure, a serving task may soon be over its
+/// target.
+constexpr double nearTargetRatio = 0.7;
+constexpr double nearTargetPressure = 0.7;
+
 /// A best-effort image that causes less than this fraction of the interference is not slowed down.
 constexpr double minAttributedFraction = 0.15;
 
@@ -249,11 +254,23 @@
 
 } // namespace
 
-bool needsFrequentPolls(const worker_record &worker)
+bool mayInterfere(const worker_record &worker)
 {
     return !worker.serving.empty() && worker.bestEffortMilliCores > 0;
 }
 
+bool isNearLatencyTarget(const worker_record &worker)
+{
+    const bool isPaced
+        = std::any_of(worker.bestEffort.begin(), worker.bestEffort.end(),
+                      [](const auto &entry) { return entry.second.pacePercent < 100; });
+    const bool isNear
+        = std::any_of(worker.serving.begin(), worker.serving.end(), [](const auto &entry) {
+              return entry.second.latencyRatio > nearTargetRatio;
+          });
+    return isPaced || isNear || bestEffortPressure(worker) > nearTargetPressure;
+}
+
 double bestEffortPressure(const worker_record &worker)
 {
     double highest = 0;
--- a/packages/scheduler/pace_control.h
+++ b/packages/scheduler/pace_control.h
@@ -7,9 +7,12 @@
 
 namespace crocuswind::scheduler {
 
-/// Returns true if the worker must be polled frequently, because best-effort tasks may interfere
-/// with its serving tasks.
-bool needsFrequentPolls(const worker_record &worker);
+/// Returns true if best-effort tasks on the worker may interfere with its serving tasks.
+bool mayInterfere(const worker_record &worker);
+
+/// Returns true if the pace of best-effort tasks on the worker may have to change soon: it is
+/// reduced, or a serving task may come over its target.
+bool isNearLatencyTarget(const worker_record &worker);
 
 /// Returns the pressure of the worker's best-effort tasks on its serving tasks: the interference at
 /// full pace as a multiple of what the serving tasks tolerate. Above 1, full pace endangers their
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -19,6 +19,10 @@
 /// has to be read more often.
 constexpr std::int64_t frequentPollWaitMs = 400;
 
+/// The interference model learns enough from this many reports a second of such workers. On a
+/// larger fleet each of them is polled less often, unless its serving tasks are near their targets.
+constexpr std::int64_t maxLearningReportsPerSecond = 1000;
+
 /// Pause between two polls of a worker, so that completions in close succession share one poll and
 /// one commit.
 constexpr duration pollPause = 40ms;
@@ -56,6 +60,18 @@
         || !worker.hasReported || worker.hasStrayRuns;
 }
 
+// Returns how long a poll of the worker may wait for a completion, in milliseconds.
+std::int64_t pollWaitOf(const scheduler_state &state, const worker_record &worker)
+{
+    if (!mayInterfere(worker))
+        return pollWaitMs;
+    if (isNearLatencyTarget(worker))
+        return frequentPollWaitMs;
+    const std::int64_t sharedMs
+        = std::int64_t(state.workers.size()) * 1000 / maxLearningReportsPerSecond;
+    return std::clamp(sharedMs, frequentPollWaitMs, pollWaitMs);
+}
+
 void sendPoll(scheduler_state &state, worker_record &worker)
 {
     poll_command command;
@@ -76,7 +92,7 @@
     if (renewsLease)
         command.leaseUntilMs = worker.lease.grantUntil(*lease, state.now);
     if (isSameIncarnationLikely && !worker.runs.empty() && !worker.completions.hasUnsettled())
-        command.waitMs = needsFrequentPolls(worker) ? frequentPollWaitMs : pollWaitMs;
+        command.waitMs = pollWaitOf(state, worker);
     worker.isPollInFlight = true;
     ++state.counters.polls;
     state.ports.poll(command);
