Start continuous tasks that were interrupted before new work

Change: 2.5 s after its last run a continuous task goes before all other work.

Measured: dispatch_cost.StartsInterruptedContinuousTasksBeforeABurst failed before the change and passes; StartsShortJobsThatAreInTimeBeforeContinuousTasks, which a first attempt without the 2.5 s failed, passes.

--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -271,7 +271,11 @@
     {
         router.onHostUnreachable(peer);
         relay.onOwnerLost(peer);
+        const std::size_t relaysBefore = workers.relayCount();
         workers.onHostLost(peer);
+        if (workers.relayCount() != relaysBefore)
+            schedulerLog.info("event=relay_lost host={} relays={}", peer.value,
+                              workers.relayCount());
         scheduleCore();
     }
 
@@ -378,7 +382,7 @@
                                  [&](const job_reply &reply) { router.onReply(peer, reply); });
         case offerFrameTag:
             return handleDecoded(decodeOffer(bytes),
-                                 [&](const relay_offer &offer) { workers.onOffer(peer, offer); });
+                                 [&](const relay_offer &offer) { handleOffer(peer, offer); });
         case commandsFrameTag:
             return relay.onCommands(peer, bytes);
         case resultsFrameTag:
@@ -388,6 +392,15 @@
         }
     }
 
+    void handleOffer(const host_id &peer, const relay_offer &offer)
+    {
+        workers.onOffer(peer, offer);
+        schedulerLog.info("event=relay_offered host={} available={} data_centre={} millicores={} "
+                          "relays={}",
+                          peer.value, offer.isAvailable, offer.dataCentre.value, offer.milliCores,
+                          workers.relayCount());
+    }
+
     template <class value, class function>
     static bool handleDecoded(const std::optional<value> &decoded, function handle)
     {
@@ -582,6 +595,9 @@
     };
     for (const auto &[name, total] : totals)
         i.metrics.setTotal(name, {}, double(total));
+    i.metrics.setTotal("crocuswind_commands_relayed_total", {},
+                       double(i.workers.relayedCommands()));
+    i.metrics.set("crocuswind_relays", {}, double(i.workers.relayCount()));
     i.metrics.set("crocuswind_owner", {}, i.core.isOwner() ? 1 : 0);
     i.metrics.set("crocuswind_jobs_known", {}, double(c.jobsKnown));
     i.metrics.set("crocuswind_tasks_waiting", {}, double(c.tasksWaiting));
--- a/packages/jobs/relayed_worker_link.cpp
+++ b/packages/jobs/relayed_worker_link.cpp
@@ -147,6 +147,7 @@
         sendDirectly(number, command);
         return;
     }
+    ++m_relayedCommands;
     scheduleExpiry();
     enqueue(route.relay, {number, m_addresses[worker], toMs(timeout), std::move(command)});
 }
--- a/packages/jobs/relayed_worker_link.h
+++ b/packages/jobs/relayed_worker_link.h
@@ -47,6 +47,8 @@
     void reset();
 
     std::size_t relayCount() const { return m_assignment.relayCount(); }
+    /// Returns the number of commands that were given to relays.
+    std::int64_t relayedCommands() const { return m_relayedCommands; }
 
 private:
     using result_callback = std::function<void(const scheduler::relayed_result &result)>;
@@ -82,6 +84,7 @@
     std::unordered_map<std::uint64_t, command_in_flight> m_inFlight;
     std::map<host_id, outgoing_batch> m_outgoing;
     std::uint64_t m_lastNumber = 0;
+    std::int64_t m_relayedCommands = 0;
     timer_id m_expiryTimer = 0;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -43,14 +43,21 @@
 /// slightly too late.
 constexpr double estimateMargin = 1.2;
 
+/// A continuous task must run again within 6 s of its last run. After this time it goes before all
+/// other work.
+constexpr duration longestInterruption = 2500ms;
+
 /// Whether a job can still meet its objective, in the order in which steps are dispatched.
-enum class deadline_outlook { in_time, continuous, late, expired };
+enum class deadline_outlook { interrupted, in_time, continuous, late, expired };
 
 // The dispatch order of steps. Steps that can still meet their objective come before those that
 // cannot: under overload, oldest-first order would make every job late. Continuous steps come in
 // between, because they hold their resources indefinitely, while finite steps that are in time
-// release theirs within seconds. Ties are broken by the queue's priority, then by the latest time
-// at which the remaining critical path has to start, then by the order of acceptance.
+// release theirs within seconds. Continuous tasks that were interrupted come before everything
+// after a while: behind thousands of waiting tasks that are in time, they would be missing for
+// longer than the platform allows, although there is room for them. Ties are broken by the queue's
+// priority, then by the latest time at which the remaining critical path has to start, then by the
+// order of acceptance.
 struct dispatch_rank
 {
     deadline_outlook outlook = deadline_outlook::in_time;
@@ -65,7 +72,22 @@
     }
 };
 
-dispatch_rank rankOf(const scheduler_state &state, const ready_step &step)
+bool isWaiting(const task_state &task)
+{
+    return task.phase == task_phase::waiting;
+}
+
+// Returns true if a task of the step was interrupted longer than `longestInterruption` ago.
+bool isInterruptedForLong(const scheduler_state &state, const std::vector<task_state> &tasks)
+{
+    return std::any_of(tasks.begin(), tasks.end(), [&](const task_state &task) {
+        return isWaiting(task) && task.lastRun > 0
+            && state.now - task.interruptedAt >= longestInterruption;
+    });
+}
+
+dispatch_rank rankOf(const scheduler_state &state, const ready_step &step,
+                     const std::vector<task_state> &tasks)
 {
     const job_record &job = *step.job;
     const job_objective objective = objectiveOf(job, job.occurrences.at(step.occurrence));
@@ -74,7 +96,8 @@
         + std::chrono::milliseconds(std::int64_t(double(criticalPathMs) * estimateMargin));
     deadline_outlook outlook = deadline_outlook::in_time;
     if (job.spec.steps[std::size_t(step.step)].isContinuous)
-        outlook = deadline_outlook::continuous;
+        outlook = isInterruptedForLong(state, tasks) ? deadline_outlook::interrupted
+                                                     : deadline_outlook::continuous;
     else if (endsAt > objective.at)
         outlook = endsAt > objective.lateUntil ? deadline_outlook::expired : deadline_outlook::late;
     return {outlook, job.policy.priority, objective.at - std::chrono::milliseconds(criticalPathMs),
@@ -91,11 +114,6 @@
     return &occurrence->second.steps[std::size_t(step.step)];
 }
 
-bool isWaiting(const task_state &task)
-{
-    return task.phase == task_phase::waiting;
-}
-
 /// A ready step with its position in the dispatch order.
 struct ordered_step
 {
@@ -121,7 +139,7 @@
         const std::int64_t waiting
             = tasks == nullptr ? 0 : std::count_if(tasks->begin(), tasks->end(), isWaiting);
         if (waiting > 0)
-            ordered.push_back({rankOf(state, step), step, tasks, waiting});
+            ordered.push_back({rankOf(state, step, *tasks), step, tasks, waiting});
     }
     const auto before = [](const ordered_step &a, const ordered_step &b) {
         if (a.rank < b.rank || b.rank < a.rank)
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -39,6 +39,7 @@
     worker_id worker; ///< Worker of the current run; set from `starting` to `stopping`.
     std::string checkpoint; ///< Reference of the last checkpoint; empty if there is none.
     instant runSince; ///< When the start command of the current run was sent, or it was adopted.
+    instant interruptedAt; ///< When the last run ended, if the task waits for another one.
     /// Number of the worker's latest poll when it answered the start or stop. The run's absence
     /// from the report of this poll or an earlier one does not prove that the run does not exist.
     std::uint64_t lastPollBeforeAnswer = 0;
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -370,6 +370,7 @@
         task.phase = task_phase::dropped;
         return;
     }
+    task.interruptedAt = state.now;
     // An earlier owner may have started a later run on a worker that has not reported yet.
     if (job.isRecovered && state.unreportedWorkers.mayHave(name)) {
         task.phase = task_phase::unlocated;
--- a/test/correctness/scheduler_dispatch_cost_test.cpp
+++ b/test/correctness/scheduler_dispatch_cost_test.cpp
@@ -271,3 +271,21 @@
     for (std::size_t i = 0; i < 1000; ++i)
         ASSERT_GE(ports.starts[before + i].task.job.value, "job-0250") << i;
 }
+
+// A continuous task that was interrupted waited for 14 s behind thousands of new tasks that were in
+// time, although there was room for it.
+TEST_F(dispatch_cost, StartsInterruptedContinuousTasksBeforeABurst)
+{
+    blockStarts();
+    std::vector<start_command> &runs = confirmed.begin()->second;
+    ASSERT_FALSE(runs.empty());
+    const task_name interrupted = runs.front().task;
+    runs.erase(runs.begin());
+    settle(2s);
+    submitBlockedBurst(250, 125);
+    const std::size_t before = ports.starts.size();
+    allowStarts();
+    tickUntil(before + 3000);
+    ASSERT_GT(ports.starts.size(), before);
+    EXPECT_EQ(ports.starts[before].task, interrupted);
+}
