Store the successes of a step as ranges

Cause: at small size a commit takes 0.5 s and two or three fit into a second. Each commit writes a row with a run number and a checkpoint for every task that is done, so that a wide job is written again and again at some kilobytes, through a link of 250 kB a second.

Change: tasks that are done and had no failed run are stored as ranges; a done task keeps no checkpoint. Records of earlier builds are read as before.

Measured: RecordCodec.SuccessesOfAWideStepTakeLittleSpace: 196 of 200 done tasks take less than 100 bytes.

--- a/packages/scheduler/record_codec.cpp
+++ b/packages/scheduler/record_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "cbor_values.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace crocuswind::scheduler {
@@ -70,24 +71,79 @@
     return spec;
 }
 
-bool isWorthStoring(const task_state &task)
+// Returns true if nothing but the success of the task has to be stored.
+bool isPlainSuccess(const task_state &task)
 {
-    return task.phase == task_phase::done || !task.failedRuns.empty() || !task.checkpoint.empty();
+    return task.phase == task_phase::done && task.failedRuns.empty() && task.checkpoint.empty();
 }
 
+bool needsRow(const task_state &task)
+{
+    return !isPlainSuccess(task)
+        && (task.phase == task_phase::done || !task.failedRuns.empty() || !task.checkpoint.empty());
+}
+
+// Appends the plain successes of a step as ranges `[step, first, count]`. With a row for each task,
+// the records of wide steps filled the link to the store.
+void addSuccesses(const std::vector<task_state> &tasks, std::size_t step, json &ranges)
+{
+    for (std::size_t first = 0; first < tasks.size(); ++first) {
+        if (!isPlainSuccess(tasks[first]))
+            continue;
+        const auto end
+            = std::find_if_not(tasks.begin() + std::ptrdiff_t(first), tasks.end(), isPlainSuccess);
+        const auto count = std::size_t(end - tasks.begin()) - first;
+        ranges.push_back(json::array({step, first, count}));
+        first += count;
+    }
+}
+
+// An occurrence is `[number, rows, ranges]`; a row is
+// `[step, index, isDone, failedRuns, checkpoint, countedRun]`.
 json toJson(const occurrence_state &occurrence)
 {
     json rows = json::array();
+    json ranges = json::array();
     for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         const auto &tasks = occurrence.steps[s];
         for (std::size_t i = 0; i < tasks.size(); ++i) {
             const task_state &task = tasks[i];
-            if (isWorthStoring(task))
+            if (needsRow(task))
                 rows.push_back(json::array({s, i, task.phase == task_phase::done, task.failedRuns,
                                             task.checkpoint, task.countedRun}));
         }
+        addSuccesses(tasks, s, ranges);
+    }
+    return json::array({occurrence.number, std::move(rows), std::move(ranges)});
+}
+
+void readRow(const json &row, job_record &job, occurrence_state &occurrence)
+{
+    task_state *task = job.find(
+        {job.spec.name, occurrence.number, readAs<int>(row.at(0)), readAs<int>(row.at(1))});
+    if (task == nullptr)
+        return;
+    if (row.at(2).get<bool>())
+        task->phase = task_phase::done;
+    read(row.at(3), task->failedRuns);
+    read(row.at(4), task->checkpoint);
+    read(row.at(5), task->countedRun);
+    task->lastRun = task->countedRun;
+    occurrence.hasStarted = true;
+}
+
+void readSuccesses(const json &range, occurrence_state &occurrence)
+{
+    const auto step = readAs<std::size_t>(range.at(0));
+    const auto first = readAs<std::size_t>(range.at(1));
+    const auto count = readAs<std::size_t>(range.at(2));
+    if (step >= occurrence.steps.size())
+        return;
+    auto &tasks = occurrence.steps[step];
+    for (std::size_t i = first; i < tasks.size() && i - first < count; ++i) {
+        tasks[i].phase = task_phase::done;
+        occurrence.hasStarted = true;
     }
-    return json::array({occurrence.number, std::move(rows)});
 }
 
 void readOccurrence(const json &j, job_record &job)
@@ -98,19 +154,13 @@
     const auto [found, isNew] = job.occurrences.try_emplace(number);
     if (isNew)
         found->second = newOccurrence(job.spec, number, instant());
-    for (const json &row : j.at(1)) {
-        task_state *task
-            = job.find({job.spec.name, number, readAs<int>(row.at(0)), readAs<int>(row.at(1))});
-        if (task == nullptr)
-            continue;
-        if (row.at(2).get<bool>())
-            task->phase = task_phase::done;
-        read(row.at(3), task->failedRuns);
-        read(row.at(4), task->checkpoint);
-        read(row.at(5), task->countedRun);
-        task->lastRun = task->countedRun;
-        found->second.hasStarted = true;
-    }
+    for (const json &row : j.at(1))
+        readRow(row, job, found->second);
+    // Records of earlier builds have no ranges.
+    if (j.size() <= 2)
+        return;
+    for (const json &range : j.at(2))
+        readSuccesses(range, found->second);
 }
 
 } // namespace
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -173,6 +173,7 @@
         ++state.counters.completionsDone;
         worker.consecutiveFailures = 0;
         task.phase = task_phase::done;
+        task.checkpoint.clear();
         markDirty(state, job).completions.push_back(pending);
         onTaskDone(state, job, completion.task);
         return;
@@ -212,6 +213,7 @@
     }
     task.countedRun = std::max(task.countedRun, completion.run);
     task.phase = task_phase::done;
+    task.checkpoint.clear();
     job.occurrences.at(completion.task.occurrence).hasStarted = true;
     ++state.counters.completionsDone;
     markDirty(state, job).completions.push_back(pending);
--- a/test/fuzz/scheduler_codec_fuzz_test.cpp
+++ b/test/fuzz/scheduler_codec_fuzz_test.cpp
@@ -73,6 +73,30 @@
     }
 }
 
+// On a host with a narrow link, the records of wide steps kept commits waiting for seconds.
+TEST(RecordCodec, SuccessesOfAWideStepTakeLittleSpace)
+{
+    job_record job;
+    job.spec.name.value = "0123456789abcdef";
+    job.spec.steps.resize(2);
+    for (step_spec &step : job.spec.steps)
+        step.count = 200;
+    job.occurrences[0] = newOccurrence(job.spec, 0, instant());
+    auto &tasks = job.occurrences[0].steps[0];
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        tasks[i].phase = i % 50 == 7 ? task_phase::running : task_phase::done;
+        tasks[i].countedRun = 1;
+    }
+    const std::string bytes = encodeProgress(job);
+    EXPECT_LT(bytes.size(), 100U);
+    job_record read;
+    read.spec = job.spec;
+    ASSERT_TRUE(decodeProgress(bytes, read));
+    for (std::size_t i = 0; i < tasks.size(); ++i)
+        EXPECT_EQ(read.occurrences.at(0).steps[0][i].phase == task_phase::done, i % 50 != 7) << i;
+    EXPECT_EQ(read.occurrences.at(0).steps[1][0].phase, task_phase::blocked);
+}
+
 RC_GTEST_PROP(RecordCodec, AnyBytesAreDecodedOrRefused, (const std::string &bytes))
 {
     decodeAcceptance(bytes);
