Bound the starts in flight by how quickly they are answered

Cause: at small size starts wait for 0.5 to 0.85 s in the owner's link, behind them polls and commits; late ones are given up and sent again.

Change: start_window, pure: if most answers of an interval of 300 ms were slow, no more starts than were answered in it may be in flight; otherwise the window grows.

--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -162,6 +162,8 @@
     explicit dispatch_pass(scheduler_state &state)
         : m_state(state)
         , m_chooser(refreshedChooser(state))
+        , m_maxStarts(int(std::min<std::int64_t>(
+              maxStartsPerPass, state.startWindow.available(state.startsInFlight))))
     { }
 
     /// Returns true if the pass ended because it reached the maximum number of starts.
@@ -172,7 +174,7 @@
         for (const ordered_step &step : orderSteps(m_state))
             waiting += step.waiting - startTasks(step);
         m_state.counters.tasksWaiting = waiting;
-        return m_starts == maxStartsPerPass;
+        return m_starts == m_maxStarts;
     }
 
 private:
@@ -197,7 +199,7 @@
                 recordTask(task.worker, request, tasksOfStep);
         }
         const int before = m_starts;
-        for (int index = 0; index < int(tasks.size()) && m_starts < maxStartsPerPass; ++index) {
+        for (int index = 0; index < int(tasks.size()) && m_starts < m_maxStarts; ++index) {
             task_state &task = tasks[std::size_t(index)];
             if (!isWaiting(task))
                 continue;
@@ -254,6 +256,8 @@
         command.checkpoint = task.checkpoint;
         command.leaseUntilMs = worker.lease.grantUntil(*leaseEnd(m_state), m_state.now);
         command.epoch = m_state.epoch;
+        command.sentAt = m_state.now;
+        ++m_state.startsInFlight;
         m_state.logDetail("start", [&] {
             return fmt::format(
                 "job={} task={} run={} worker={} free_millicores={} filling_millicores={} "
@@ -267,6 +271,7 @@
 
     scheduler_state &m_state;
     worker_chooser &m_chooser;
+    int m_maxStarts;
     bool m_isUtilisationLow = false;
     int m_starts = 0;
 };
@@ -285,8 +290,10 @@
         return;
     }
     const bool hasReachedLimit = dispatch_pass(state).run();
+    const bool isWindowFull = state.startWindow.available(state.startsInFlight) == 0;
     state.isDispatchWanted = hasReachedLimit;
-    state.nextDispatchAt = hasReachedLimit ? state.now : state.now + dispatchInterval;
+    state.nextDispatchAt
+        = hasReachedLimit && !isWindowFull ? state.now : state.now + dispatchInterval;
 }
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -138,6 +138,8 @@
         state.isHandingOver = false;
         state.isCommitting = false;
         state.isDispatchWanted = false;
+        state.startsInFlight = 0;
+        state.startWindow = start_window();
         state.jobs.clear();
         state.unstartedJobs.clear();
         state.ready.clear();
@@ -344,7 +346,10 @@
     m_implementation->setNow(now);
     if (command.epoch != m_implementation->state.epoch || !m_implementation->state.isOwner)
         return;
-    handleStartResult(m_implementation->state, command, result);
+    scheduler_state &state = m_implementation->state;
+    --state.startsInFlight;
+    state.startWindow.onResult(command.sentAt, now, result.outcome != command_outcome::no_answer);
+    handleStartResult(state, command, result);
     m_implementation->runFollowUps();
 }
 
--- a/packages/scheduler/scheduler_ports.h
+++ b/packages/scheduler/scheduler_ports.h
@@ -23,6 +23,7 @@
     std::int64_t leaseUntilMs = 0; ///< On the worker's clock.
     std::int64_t epoch
         = 0; ///< Fencing token: the worker refuses any below the highest it has seen.
+    instant sentAt; ///< On the clock of the owner; not sent.
 };
 
 /// Tells a worker to stop a run. Once the worker has answered, that run can never begin there, not
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -4,6 +4,7 @@
 
 #include "interference_model.h"
 #include "scheduler_core.h"
+#include "start_window.h"
 #include "unreported_workers.h"
 
 #include <deque>
@@ -124,6 +125,8 @@
     // Dispatch.
     bool isDispatchWanted = false;
     instant nextDispatchAt;
+    std::int64_t startsInFlight = 0; ///< Start commands without a result.
+    start_window startWindow;
     std::vector<ready_step> ready; ///< Superset of the steps with waiting tasks.
     std::multimap<instant, std::pair<job_name, int>> dueOccurrences;
 
