Refuse waiting calls once the grace period for a new owner is over

Change: when the grace period ends, the router refuses all waiting calls that no owner can have carried out. Submissions and cancellations that were sent wait on, since their outcome is unknown.

Measured: JobRouter.RefusesWaitingCallsOnceTheGracePeriodIsOver failed before and passes.

--- a/packages/jobs/job_router.cpp
+++ b/packages/jobs/job_router.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// Calls wait this long for a new owner, which usually takes over within this time. Afterwards
-/// calls are refused at once until an owner is reachable.
+/// Calls wait this long for a new owner, which usually takes over within this time. Afterwards they
+/// are refused, those that wait and new ones at once, until an owner is reachable.
 constexpr duration ownerChangeGracePeriod = 2500ms;
 
 /// Retry delay given to a caller that is refused because no owner is reachable.
@@ -40,10 +40,13 @@
     : m_loop(loop)
     , m_sender(std::move(sender))
     , m_unreachableSince(loop.now())
-{ }
+{
+    scheduleRefusals();
+}
 
 job_router::~job_router()
 {
+    m_loop.cancel(m_refusalTimer);
     for (auto &[token, pending] : m_pending) {
         m_loop.cancel(pending.deadlineTimer);
         m_loop.cancel(pending.resendTimer);
@@ -106,10 +109,32 @@
 
 void job_router::setReachable(bool isReachable)
 {
-    if (isReachable)
+    if (isReachable) {
         m_unreachableSince.reset();
-    else if (!m_unreachableSince)
+        m_loop.cancel(m_refusalTimer);
+    } else if (!m_unreachableSince) {
         m_unreachableSince = m_loop.now();
+        scheduleRefusals();
+    }
+}
+
+void job_router::scheduleRefusals()
+{
+    m_refusalTimer
+        = m_loop.callAt(*m_unreachableSince + ownerChangeGracePeriod, [this] { refuseUnsent(); });
+}
+
+// Refuses the calls that certainly have had no effect, rather than let them wait for their
+// deadline. Those that an owner may have carried out wait on.
+void job_router::refuseUnsent()
+{
+    std::vector<call_token> waiting;
+    for (const auto &[token, pending] : m_pending) {
+        if (!pending.lastSentTo || !isMutation(pending.call))
+            waiting.push_back(token);
+    }
+    for (call_token token : waiting)
+        onDeadline(token);
 }
 
 void job_router::setOwner(const std::optional<host_id> &owner)
--- a/packages/jobs/job_router.h
+++ b/packages/jobs/job_router.h
@@ -75,6 +75,8 @@
     void finish(scheduler::call_token token, const scheduler::job_reply &reply);
     void onDeadline(scheduler::call_token token);
     void setReachable(bool isReachable);
+    void scheduleRefusals();
+    void refuseUnsent();
 
     event_loop &m_loop;
     job_call_sender m_sender;
@@ -83,6 +85,7 @@
     scheduler::call_token m_lastToken = 0;
     std::map<scheduler::call_token, pending_call> m_pending;
     job_router_counters m_counters;
+    timer_id m_refusalTimer = 0;
 };
 
 } // namespace crocuswind
--- a/test/failure/job_router_test.cpp
+++ b/test/failure/job_router_test.cpp
@@ -91,3 +91,42 @@
     ASSERT_TRUE(answer.has_value());
     EXPECT_EQ(answer->outcome, job_outcome::refused);
 }
+
+// Calls that arrived just after the owner was lost waited for their whole deadline, although they
+// were certain to be refused after the grace period.
+TEST(JobRouter, RefusesWaitingCallsOnceTheGracePeriodIsOver)
+{
+    event_loop loop;
+    job_router router(loop, [](const host_id &, const job_call &) { return false; });
+    std::optional<job_reply> unsent;
+    job_call call;
+    call.kind = job_call_kind::submit;
+    const instant begin = loop.now();
+    router.call(call, begin + 60s, [&](const job_reply &reply) { unsent = reply; });
+    ASSERT_TRUE(loop.runUntil([&] { return unsent.has_value(); }, 30s));
+    EXPECT_EQ(unsent->outcome, job_outcome::refused);
+    EXPECT_GT(unsent->retryAfterMs, 0);
+}
+
+// The owner may have carried out the call, so it must not be refused.
+TEST(JobRouter, KeepsCallsThatAnOwnerMayHaveCarriedOut)
+{
+    event_loop loop;
+    const host_id owner{"host-1"};
+    job_router router(loop, [](const host_id &, const job_call &) { return true; });
+    router.setOwner(owner);
+    router.onHostReachable(owner);
+    std::optional<job_reply> sent;
+    std::optional<job_reply> query;
+    job_call call;
+    call.kind = job_call_kind::submit;
+    router.call(call, loop.now() + 4s, [&](const job_reply &reply) { sent = reply; });
+    call.kind = job_call_kind::query;
+    router.call(call, loop.now() + 60s, [&](const job_reply &reply) { query = reply; });
+    router.onHostUnreachable(owner);
+    ASSERT_TRUE(loop.runUntil([&] { return query.has_value(); }, 30s));
+    EXPECT_EQ(query->outcome, job_outcome::refused);
+    EXPECT_FALSE(sent.has_value());
+    ASSERT_TRUE(loop.runUntil([&] { return sent.has_value(); }, 30s));
+    EXPECT_EQ(sent->outcome, job_outcome::no_answer);
+}
