--- a/test/correctness/scheduler_dispatch_cost_test.cpp
+++ b/test/correctness/scheduler_dispatch_cost_test.cpp
@@ -289,3 +289,27 @@
     ASSERT_GT(ports.starts.size(), before);
     EXPECT_EQ(ports.starts[before].task, interrupted);
 }
+
+// Each pass examined all workers again for each kind of waiting task, so that the cost of a pass
+// grew with the fleet. A worker is examined again only when it has changed.
+TEST_F(dispatch_cost, ExaminesUnchangedWorkersOnceInManyPasses)
+{
+    submitBlockedBurst(400, 0);
+    allowStarts();
+    for (int i = 0; i < 2000; ++i)
+        submit("q", fmt::format("more-{:04}", i), finiteStep(i % kindCount));
+    settle(8s);
+    ASSERT_GT(core.counters().tasksWaiting, 3000);
+    const scheduler_counters before = core.counters();
+    constexpr int passes = 50;
+    for (int i = 0; i < passes; ++i) {
+        now += 10ms;
+        core.setQueues(now, policies);
+        core.tick(now, 0);
+    }
+    EXPECT_EQ(core.counters().starts, before.starts);
+    // The first pass takes over earlier changes, and the choice is rebuilt at most once within half
+    // a second. Examinations have up to two stages.
+    EXPECT_LE(core.counters().workersExamined - before.workersExamined,
+              2 * 2 * kindCount * workerCount);
+}
