Name the token after what it is for, and share the stand-in's configuration

Cause: fencingToken is a name of the platform's wire, which stays in platform/; the same configuration stood in a test and a benchmark. Change: commandToken; oneQueueConfiguration in the stand-ins.

--- a/packages/jobs/relayed_worker_link.cpp
+++ b/packages/jobs/relayed_worker_link.cpp
@@ -139,7 +139,7 @@
     const worker_id worker = workerOf(command);
     const bool isIdle = m_inFlightOfWorker.count(worker) == 0;
     const command_route route = m_assignment.routeFor(worker, isIdle, m_loop.now());
-    std::visit([&](auto &c) { c.epoch = fencingToken(c.epoch, route); }, command);
+    std::visit([&](auto &c) { c.epoch = commandToken(c.epoch, route); }, command);
     const std::uint64_t number = ++m_lastNumber;
     m_inFlight[number] = {worker, route, m_loop.now() + timeout + relayMargin, std::move(done)};
     ++m_inFlightOfWorker[worker];
--- a/packages/scheduler/relay_assignment.cpp
+++ b/packages/scheduler/relay_assignment.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-std::int64_t fencingToken(std::int64_t epoch, const command_route &route)
+std::int64_t commandToken(std::int64_t epoch, const command_route &route)
 {
     CROCUSWIND_INVARIANT(route.generation < generationsPerEpoch, "too many routes in one epoch");
     return epoch * generationsPerEpoch + route.generation;
--- a/packages/scheduler/relay_assignment.h
+++ b/packages/scheduler/relay_assignment.h
@@ -31,7 +31,7 @@
 
 /// Returns the fencing token of commands of an owner's epoch on a route. Tokens of a later epoch
 /// are higher than all of an earlier one.
-std::int64_t fencingToken(std::int64_t epoch, const command_route &route);
+std::int64_t commandToken(std::int64_t epoch, const command_route &route);
 
 /// Assigns workers to relays. Keeps an assignment as long as the relay is available, since a worker
 /// should hear from one host at a time.
--- a/test/correctness/scheduler_relay_assignment_test.cpp
+++ b/test/correctness/scheduler_relay_assignment_test.cpp
@@ -101,8 +101,8 @@
 {
     const command_route first{{"a"}, 1};
     const command_route second{{"b"}, 2};
-    EXPECT_LT(fencingToken(1, first), fencingToken(1, second));
-    EXPECT_LT(fencingToken(1, second), fencingToken(2, command_route()));
+    EXPECT_LT(commandToken(1, first), commandToken(1, second));
+    EXPECT_LT(commandToken(1, second), commandToken(2, command_route()));
 }
 
 TEST(RelayAssignment, AWorkerChangesItsRouteWithAHigherGenerationOnly)
--- a/test/failure/jobs_relay_test.cpp
+++ b/test/failure/jobs_relay_test.cpp
@@ -152,7 +152,7 @@
     EXPECT_EQ(sent.payload, "payload");
     EXPECT_EQ(sent.checkpoint, "saved");
     EXPECT_EQ(sent.leaseUntilMs, 4000);
-    EXPECT_EQ(sent.epoch, fencingToken(7, {{"a"}, 1}));
+    EXPECT_EQ(sent.epoch, commandToken(7, {{"a"}, 1}));
     workersOf["a"].answers[0]({command_outcome::done, 1234});
     ASSERT_TRUE(awaitOutcome());
     EXPECT_EQ(outcomes[0], run_outcome(3, command_outcome::done));
--- a/test/failure/platform_path_test.cpp
+++ b/test/failure/platform_path_test.cpp
@@ -48,16 +48,7 @@
             store.put("servers/" + workers.back()->id(), workers.back()->entry());
         }
         store.put("servers/odd", {{"service", 7}});
-        store.put("op/config",
-                  {{"version", 3},
-                   {"routes",
-                    {{{"name", "r"},
-                      {"host", "jobs.example"},
-                      {"prefix", "/q/"},
-                      {"service", "pool"},
-                      {"maxAttempts", 3},
-                      {"stretch", 2},
-                      {"timeoutMs", 5000}}}}});
+        store.put("op/config", oneQueueConfiguration());
     }
 
     ~platform_path() override
--- a/test/performance/jobs_owner_process_benchmark.cpp
+++ b/test/performance/jobs_owner_process_benchmark.cpp
@@ -66,16 +66,7 @@
                 std::make_unique<platform_worker>(loop, fmt::format("i-{:04}", i), runTime));
             store.put("servers/" + workers.back()->id(), workers.back()->entry());
         }
-        store.put("op/config",
-                  {{"version", 3},
-                   {"routes",
-                    {{{"name", "r"},
-                      {"host", "jobs.example"},
-                      {"prefix", "/q/"},
-                      {"service", "pool"},
-                      {"maxAttempts", 3},
-                      {"stretch", 2},
-                      {"timeoutMs", 5000}}}}});
+        store.put("op/config", oneQueueConfiguration());
     }
 
     ~process_site() { std::remove(settings.c_str()); }
--- a/test/standin/platform_site.cpp
+++ b/test/standin/platform_site.cpp
@@ -56,6 +56,14 @@
 
 } // namespace
 
+json oneQueueConfiguration()
+{
+    const json route
+        = {{"name", "r"},      {"host", "jobs.example"}, {"prefix", "/q/"},  {"service", "pool"},
+           {"maxAttempts", 3}, {"stretch", 2},           {"timeoutMs", 5000}};
+    return {{"version", 3}, {"routes", json::array({route})}};
+}
+
 // platform_store
 
 platform_store::platform_store(event_loop &loop)
--- a/test/standin/platform_site.h
+++ b/test/standin/platform_site.h
@@ -16,6 +16,9 @@
 
 namespace crocuswind::standin {
 
+/// Returns the operator's configuration with one queue, `jobs.example/q/`, on the service `pool`.
+nlohmann::json oneQueueConfiguration();
+
 /// The platform's metadata store: items with revisions, leases, transactions, and watches that wait
 /// for changes.
 class platform_store
