Rebuild the choice of workers more often on small fleets

Change: the choice is rebuilt after 1 ms for each worker, a second at most, so that its cost stays the same.

The large site (1,100 workers) is rebuilt each second as before.

--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -42,9 +42,10 @@
 /// tasks went to any worker whose serving tasks could just tolerate them.
 constexpr double pressureCost = 20000;
 
-/// The chooser is built anew after this time, so that it follows what the interference model
-/// learns.
-constexpr duration chooserLifetime = 1s;
+/// The chooser is built anew after a time, so that it follows what the interference model learns.
+/// The cost of that grows with the fleet, and so does the time.
+constexpr duration chooserLifetimePerWorker = 1ms;
+constexpr duration maxChooserLifetime = 1s;
 
 /// A heap with more candidates than this multiple of the number of workers consists mostly of stale
 /// ones and is built anew.
@@ -240,7 +241,9 @@
 
 bool worker_chooser::isOutdated() const
 {
-    return m_state.now - m_builtAt >= chooserLifetime;
+    const duration lifetime = std::min<duration>(
+        maxChooserLifetime, chooserLifetimePerWorker * std::int64_t(m_state.workers.size()));
+    return m_state.now - m_builtAt >= lifetime;
 }
 
 void worker_chooser::refresh()
