--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -79,7 +79,8 @@
     int again = 0;
     for (const auto &[task, ofTask] : byTask) {
         for (const started_run &earlier : ofTask) {
-            const bool isNoted = earlier.how == "done" && earlier.acknowledgedAtMs >= 0;
+            const bool isNoted = earlier.how == "done" && earlier.acknowledgedAtMs >= 0
+                && !log.hasLapsed(earlier.runner, earlier.endedAtMs, earlier.acknowledgedAtMs);
             for (const started_run &later : ofTask) {
                 if (!isNoted || later.startedAtMs <= earlier.endedAtMs)
                     continue;
