Let an owner that was replaced stand for election again

What callers saw: after a host had been cut off from the store for 4 s while it owned the jobs, and the other hosts were lost later, all calls got 503 "no host owns the jobs at present" for the rest of its life.

Cause: an owner that a worker shows a later epoch resigns, and owner_election::resign() also ended its candidacy, as for a planned stop. Only a new process set it again.

Change: resign() gives up the ownership alone; a planned stop excludes the host through setEligible(), as it already did. New log line `eligible`.

--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace crocuswind::scheduler {
 
@@ -378,7 +379,8 @@
 {
     implementation &i = *m_implementation;
     i.now = now;
-    i.isEligible = isEligible;
+    if (std::exchange(i.isEligible, isEligible) != isEligible)
+        i.ports.log("eligible", fmt::format("value={}", isEligible));
     i.updateCandidacy();
 }
 
@@ -474,7 +476,6 @@
 {
     implementation &i = *m_implementation;
     i.now = now;
-    i.isEligible = false;
     if (i.currentStage != implementation::stage::owner)
         return;
     i.send(implementation::call_kind::revoke, store_lease_revocation{i.lease}, callLimit);
--- a/packages/scheduler/owner_election.h
+++ b/packages/scheduler/owner_election.h
@@ -109,7 +109,8 @@
     /// owner. A batch that may have taken effect is retried until its outcome is known.
     void commit(instant now, commit_batch batch);
 
-    /// Gives up the ownership immediately, so that another host can take over.
+    /// Gives up the ownership immediately, so that another host can take over. This host remains a
+    /// candidate for later elections unless setEligible() excludes it.
     void resign(instant now);
 
     /// Performs the work that is due. Call it at nextWake() at the latest.
--- a/test/failure/scheduler_election_test.cpp
+++ b/test/failure/scheduler_election_test.cpp
@@ -392,6 +392,41 @@
     EXPECT_TRUE(b.election.isOwner());
 }
 
+// An owner that was cut off from the store resigned when a worker showed it a later epoch. It was
+// never a candidate again, and after the loss of the other hosts nobody owned the jobs.
+TEST(Election, AnOwnerThatResignedIsElectedAgain)
+{
+    memory_store store;
+    candidate a(store, "a");
+    candidate b(store, "b");
+    a.becomeOwner();
+    store.endLease(store.lastLease);
+    b.becomeOwner();
+    a.election.resign(a.now);
+    a.serve();
+    a.readOwnerKey();
+    store.endLease(store.lastLease);
+    a.readOwnerKey();
+    a.advanceTime(1ms);
+    a.serve();
+    EXPECT_TRUE(a.election.isOwner());
+    EXPECT_EQ(a.elected, (std::vector<std::int64_t>{1, 3}));
+}
+
+TEST(Election, AnOwnerThatResignsForGoodIsNoCandidate)
+{
+    memory_store store;
+    candidate a(store, "a");
+    a.becomeOwner();
+    a.election.setEligible(a.now, false);
+    a.election.resign(a.now);
+    a.serve();
+    a.readOwnerKey();
+    a.advanceTime(1s);
+    a.serve();
+    EXPECT_FALSE(a.election.isOwner());
+}
+
 TEST(Election, SoleOwnershipEndsWithTheLease)
 {
     memory_store store;
