Count a job as begun only when a worker has shown it

What callers saw: after the loss of a worker with room, `waiting` said 5 where 25 jobs had not begun, for good, and their state was `running`.

Cause: the dispatcher set the occurrence's hasStarted when it sent a start. Nothing took it back after a refusal, a refused connection or a missing answer, and the count of waiting jobs drops such a job from its set.

A flag that follows the fact needs nothing that takes it back.

--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -246,7 +246,6 @@
         bindRun(m_state, worker, name, task, nextRun(job, task));
         task.phase = task_phase::starting;
         task.runSince = m_state.now;
-        job.occurrences.at(name.occurrence).hasStarted = true;
         ++m_state.counters.starts;
         start_command command;
         command.worker = worker.info.id;
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -61,7 +61,7 @@
     int number = 0;
     instant dueAt;
     bool isReleased = false; ///< Its due time has come; steps without predecessors may start.
-    bool hasStarted = false; ///< One of its tasks has started.
+    bool hasStarted = false; ///< A worker has shown that a run of one of its tasks has begun.
     std::vector<std::vector<task_state>> steps;
 
     /// Returns true if all tasks of the step are done.
@@ -105,7 +105,7 @@
     bool isOccurrenceDone(int number) const;
     /// Marks an occurrence as done and deletes its tasks.
     void finishOccurrence(int number);
-    /// Returns true if any task of the job has ever started.
+    /// Returns true if a run of any task of the job is known to have begun.
     bool hasStarted() const;
     /// Returns true if a run of the job may exist on some worker.
     bool mayHaveRun() const;
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -168,7 +168,7 @@
         task.phase = task_phase::dropped;
         return;
     }
-    job.occurrences.at(completion.task.occurrence).hasStarted = true;
+    noteRunBegan(job, completion.task);
     if (completion.reason == completion_reason::done && !isContinuous) {
         ++state.counters.completionsDone;
         worker.consecutiveFailures = 0;
@@ -214,7 +214,7 @@
     task.countedRun = std::max(task.countedRun, completion.run);
     task.phase = task_phase::done;
     task.checkpoint.clear();
-    job.occurrences.at(completion.task.occurrence).hasStarted = true;
+    noteRunBegan(job, completion.task);
     ++state.counters.completionsDone;
     markDirty(state, job).completions.push_back(pending);
     onTaskDone(state, job, completion.task);
@@ -383,6 +383,11 @@
     state.isDispatchWanted = true;
 }
 
+void noteRunBegan(job_record &job, const task_name &name)
+{
+    job.occurrences.at(name.occurrence).hasStarted = true;
+}
+
 void handleCompletion(scheduler_state &state, worker_record &worker,
                       const completion_report &completion)
 {
