Conclude nothing from a run's absence in a partial report

What servers saw: during 4.5 s without the store, 1,200 tasks that had ended `done` were started again.

Cause: a worker lists at most 500 completions at once. Without the store none may be acknowledged, the list grows beyond that, and a run that was neither running nor among the listed completions counted as lost. A new owner called a worker reported after the first 500.

Change: worker_report::isWhole, set by the adapter and passed on by relays. Without it no run is given up, and a worker that an earlier owner used stays unreported.

--- a/packages/scheduler/command_codec.cpp
+++ b/packages/scheduler/command_codec.cpp
@@ -174,7 +174,8 @@
         ended.push_back(
             json::array({c.number, c.task.job.value.empty() ? json() : json(toString(c.task)),
                          c.run, int(c.reason), c.checkpoint}));
-    return json::array({report.incarnationStartUnixMs, std::move(running), std::move(ended)});
+    return json::array(
+        {report.incarnationStartUnixMs, std::move(running), std::move(ended), report.isWhole});
 }
 
 void readReport(const json &j, worker_report &report)
@@ -199,6 +200,8 @@
         c.reason = rangeAt(row, 3, completion_reason::gang_incomplete);
         c.checkpoint = textAt(row, 4).get<std::string>();
     }
+    // A relay of an earlier build does not say whether the completions are all.
+    report.isWhole = j.size() > 3 ? j.at(3).get<bool>() : report.completedRuns.empty();
 }
 
 } // namespace
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -78,7 +78,11 @@
     std::int64_t clockMs = 0; ///< The worker's own steady clock.
     std::int64_t incarnationStartUnixMs = 0; ///< Start of this incarnation; 0 if not reported.
     std::vector<running_report> running;
-    std::vector<completion_report> completedRuns;
+    std::vector<completion_report> completedRuns; ///< By number; the lowest come first.
+    /// `completedRuns` has all completions that the worker has not forgotten. Otherwise the worker
+    /// may have more than it lists at once, and a run that is missing from the report may be one of
+    /// them.
+    bool isWhole = true;
 };
 
 /// A worker takes longer than this to restart. If its last report is more recent, it is still the
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -190,6 +190,18 @@
     requeue(state, name, task);
 }
 
+// Handles the bound runs that the report of poll number \p poll lacks.
+void handleAbsentRuns(scheduler_state &state, worker_record &worker, std::uint64_t poll)
+{
+    for (auto next = worker.runs.begin(); next != worker.runs.end();) {
+        const auto &[boundName, run] = *next++;
+        if (run.lastSeenPoll == poll)
+            continue;
+        const task_name name = boundName; // A copy, because unbinding the run removes the key.
+        handleAbsent(state, worker, name, *run.task, poll);
+    }
+}
+
 void handleReport(scheduler_state &state, worker_record &worker, const poll_command &command,
                   const worker_report &report)
 {
@@ -211,19 +223,21 @@
         handleRunning(state, worker, row, command.number);
     if (worker.hasStrayRuns != hadStrayRuns)
         state.noteRunsChanged(worker);
-    for (auto next = worker.runs.begin(); next != worker.runs.end();) {
-        const auto &[boundName, run] = *next++;
-        if (run.lastSeenPoll == command.number)
-            continue;
-        const task_name name = boundName; // A copy, because unbinding the run removes the key.
-        handleAbsent(state, worker, name, *run.task, command.number);
-    }
+    // A run that a partial report lacks may be among the completions that are not listed yet.
+    if (report.isWhole)
+        handleAbsentRuns(state, worker, command.number);
+    else
+        state.logDetail("partial_report", [&] {
+            return fmt::format("worker={} poll={} completions={}", worker.info.id.value,
+                               command.number, report.completedRuns.size());
+        });
     if (!worker.hasReported) {
         worker.hasReported = true;
         worker.firstReportAt = state.now;
         state.isDispatchWanted = true;
     }
-    markReported(state, worker.info.id);
+    if (report.isWhole)
+        markReported(state, worker.info.id);
 }
 
 void scheduleNextPoll(scheduler_state &state, worker_record &worker)
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -21,6 +21,8 @@
 constexpr duration responseTimeout = 800ms;
 /// A worker limits each lease to this length.
 constexpr std::int64_t maxLeaseMs = 10000;
+/// A worker lists at most this many completions in one report.
+constexpr std::size_t maxListedCompletions = 500;
 /// Time from a stop command until the run has ended.
 constexpr duration stopDuration = 100ms;
 
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -181,7 +181,11 @@
     worker_report result;
     result.clockMs = clock;
     result.incarnationStartUnixMs = toMs(worker.bootedAt.time_since_epoch());
-    result.completedRuns = worker.completedRuns;
+    result.isWhole = worker.completedRuns.size() < maxListedCompletions;
+    result.completedRuns.assign(
+        worker.completedRuns.begin(),
+        worker.completedRuns.begin()
+            + std::ptrdiff_t(std::min(worker.completedRuns.size(), maxListedCompletions)));
     for (const auto &[task, run] : worker.runs)
         result.running.push_back({task, run.run, run.checkpoint, 100, worker.measurements[task]});
     return result;
--- a/test/error/platform_bodies_test.cpp
+++ b/test/error/platform_bodies_test.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/wire_bodies.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -97,6 +98,20 @@
     EXPECT_EQ(parsePollAnswer(200, "{}").outcome, command_outcome::no_answer);
 }
 
+// A worker lists 500 completions at a time. Whether it has more is not known until they are
+// acknowledged.
+TEST(PollAnswer, IsPartialIfTheListOfCompletionsIsFull)
+{
+    const auto reportOf = [](int completions) {
+        std::string rows;
+        for (int i = 1; i <= completions; ++i)
+            rows += fmt::format(R"({}[{},"a.0.0.{}",1,"done",""])", i == 1 ? "" : ",", i, i);
+        return parsePollAnswer(200, R"({"clockMs":9,"running":[],"ended":[)" + rows + "]}").report;
+    };
+    EXPECT_TRUE(reportOf(499).isWhole);
+    EXPECT_FALSE(reportOf(500).isWhole);
+}
+
 TEST(Configuration, KeepsAQueueWhenItsRouteIsRenamed)
 {
     const auto a = parseConfiguration(R"({"version":7,"routes":[{"name":"r1","host":"h","prefix":)"
--- a/test/failure/jobs_relay_test.cpp
+++ b/test/failure/jobs_relay_test.cpp
@@ -203,9 +203,11 @@
     result.report.completedRuns
         = {{12, *parseTaskName("aa.0.1.3"), 1, completion_reason::lapsed, "s"},
            {13, task_name(), 0, completion_reason::done, ""}};
+    result.report.isWhole = false;
     workersOf["a"].pollAnswers[0](result);
     ASSERT_TRUE(loop.runUntil([&] { return answer.has_value(); }, 10s));
     EXPECT_EQ(answer->outcome, command_outcome::done);
+    EXPECT_FALSE(answer->report.isWhole);
     EXPECT_EQ(answer->report.clockMs, 77);
     EXPECT_EQ(answer->report.incarnationStartUnixMs, 88);
     ASSERT_EQ(answer->report.running.size(), 1U);
