Put interrupted continuous tasks first after a change of the owner too

What callers saw: lasting tasks that a new owner was free to start again began seconds later, behind new work, although there was room.

Cause: a continuous task goes before other work once it has been interrupted for 2.5 s. A new owner did not know that it had run: it read `lastRun > 0`, which is 0 for a task that no worker reports. The owner that gave up the runs of a silent worker counted the interruption from the lapse of the lease, 6 s after the last sign of the run.

Change: a progress record names the continuous tasks that have begun; they count as interrupted from the takeover on. Runs that are given up count from the worker's last report. A task that never began keeps its place.

--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -81,7 +81,7 @@
 bool isInterruptedForLong(const scheduler_state &state, const std::vector<task_state> &tasks)
 {
     return std::any_of(tasks.begin(), tasks.end(), [&](const task_state &task) {
-        return isWaiting(task) && task.lastRun > 0
+        return isWaiting(task) && task.hasBegun
             && state.now - task.interruptedAt >= longestInterruption;
     });
 }
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -35,11 +35,15 @@
     task_phase phase = task_phase::blocked;
     int lastRun = 0; ///< The highest run number ever used, 0 if none.
     int countedRun = 0; ///< The highest run whose completion has been applied.
+    bool hasBegun
+        = false; ///< A worker has shown, to this owner or an earlier one, that a run began.
     std::vector<int> failedRuns; ///< Numbers of failed runs; each counts as one attempt.
     worker_id worker; ///< Worker of the current run; set from `starting` to `stopping`.
     std::string checkpoint; ///< Reference of the last checkpoint; empty if there is none.
     instant runSince; ///< When the start command of the current run was sent, or it was adopted.
-    instant interruptedAt; ///< When the last run ended, if the task waits for another one.
+    /// Since when no run of the task is known, if it waits for one: the end of its last run, the
+    /// last sign of a run that was given up, or the takeover.
+    instant interruptedAt;
     /// Number of the worker's latest poll when it answered the start or stop. The run's absence
     /// from the report of this poll or an earlier one does not prove that the run does not exist.
     std::uint64_t lastPollBeforeAnswer = 0;
--- a/packages/scheduler/record_codec.cpp
+++ b/packages/scheduler/record_codec.cpp
@@ -77,10 +77,11 @@
     return task.phase == task_phase::done && task.failedRuns.empty() && task.checkpoint.empty();
 }
 
-bool needsRow(const task_state &task)
+bool needsRow(const step_spec &step, const task_state &task)
 {
     return !isPlainSuccess(task)
-        && (task.phase == task_phase::done || !task.failedRuns.empty() || !task.checkpoint.empty());
+        && (task.phase == task_phase::done || !task.failedRuns.empty() || !task.checkpoint.empty()
+            || (step.isContinuous && task.hasBegun));
 }
 
 // Appends the plain successes of a step as ranges `[step, first, count]`. With a row for each task,
@@ -99,8 +100,8 @@
 }
 
 // An occurrence is `[number, rows, ranges]`; a row is
-// `[step, index, isDone, failedRuns, checkpoint, countedRun]`.
-json toJson(const occurrence_state &occurrence)
+// `[step, index, isDone, failedRuns, checkpoint, countedRun]`. A row tells that the task has begun.
+json toJson(const std::vector<step_spec> &steps, const occurrence_state &occurrence)
 {
     json rows = json::array();
     json ranges = json::array();
@@ -108,7 +109,7 @@
         const auto &tasks = occurrence.steps[s];
         for (std::size_t i = 0; i < tasks.size(); ++i) {
             const task_state &task = tasks[i];
-            if (needsRow(task))
+            if (needsRow(steps[s], task))
                 rows.push_back(json::array({s, i, task.phase == task_phase::done, task.failedRuns,
                                             task.checkpoint, task.countedRun}));
         }
@@ -129,6 +130,7 @@
     read(row.at(4), task->checkpoint);
     read(row.at(5), task->countedRun);
     task->lastRun = task->countedRun;
+    task->hasBegun = true;
     occurrence.hasStarted = true;
 }
 
@@ -186,7 +188,7 @@
     // A later owner does not need the tasks of a job that is over.
     if (!job.isOver()) {
         for (const auto &[number, occurrence] : job.occurrences)
-            occurrences.push_back(toJson(occurrence));
+            occurrences.push_back(toJson(job.spec.steps, occurrence));
     }
     return toBytes(
         json::array({job.spec.queue.value, job.isCancelled, job.isFailed, job.finishedUnixMs,
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace crocuswind::scheduler {
 
@@ -168,7 +169,7 @@
         task.phase = task_phase::dropped;
         return;
     }
-    noteRunBegan(job, completion.task);
+    noteRunBegan(state, job, completion.task);
     if (completion.reason == completion_reason::done && !isContinuous) {
         ++state.counters.completionsDone;
         worker.consecutiveFailures = 0;
@@ -214,7 +215,7 @@
     task.countedRun = std::max(task.countedRun, completion.run);
     task.phase = task_phase::done;
     task.checkpoint.clear();
-    noteRunBegan(job, completion.task);
+    noteRunBegan(state, job, completion.task);
     ++state.counters.completionsDone;
     markDirty(state, job).completions.push_back(pending);
     onTaskDone(state, job, completion.task);
@@ -297,8 +298,10 @@
         // completions may not be durable yet and be known to the workers only.
         for (auto &tasks : occurrence.steps) {
             for (task_state &task : tasks) {
-                if (task.phase != task_phase::done)
-                    task.phase = task_phase::unlocated;
+                if (task.phase == task_phase::done)
+                    continue;
+                task.phase = task_phase::unlocated;
+                task.interruptedAt = state.now;
             }
         }
     }
@@ -383,9 +386,12 @@
     state.isDispatchWanted = true;
 }
 
-void noteRunBegan(job_record &job, const task_name &name)
+void noteRunBegan(scheduler_state &state, job_record &job, const task_name &name)
 {
     job.occurrences.at(name.occurrence).hasStarted = true;
+    task_state &task = *job.find(name);
+    if (!std::exchange(task.hasBegun, true) && specOf(job, name).isContinuous && !job.isOver())
+        markDirty(state, job);
 }
 
 void handleCompletion(scheduler_state &state, worker_record &worker,
@@ -422,6 +428,8 @@
         task_state &task = *worker.runs.begin()->second.task;
         unbindRun(state, name, task);
         requeue(state, name, task);
+        // The run may have ended when the worker fell silent, long before its lease lapsed.
+        task.interruptedAt = std::max(worker.lastReportAt, task.runSince);
         ++state.counters.runsLost;
     }
 }
--- a/packages/scheduler/task_lifecycle.h
+++ b/packages/scheduler/task_lifecycle.h
@@ -27,8 +27,9 @@
 void requeue(scheduler_state &state, const task_name &name, task_state &task);
 
 /// Records that a run of the task has begun. Called when a worker has shown it, not when a start
-/// command is sent: the worker may refuse the command or never receive it.
-void noteRunBegan(job_record &job, const task_name &name);
+/// command is sent: the worker may refuse the command or never receive it. For a continuous task it
+/// becomes durable, so that a later owner knows that the task was interrupted.
+void noteRunBegan(scheduler_state &state, job_record &job, const task_name &name);
 
 /// Handles a completion that \p worker has reported.
 void handleCompletion(scheduler_state &state, worker_record &worker,
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -106,7 +106,7 @@
     task.pacePercent = unknownPace;
     task.runSince = state.now;
     job_record &job = *state.findJob(row.task.job);
-    noteRunBegan(job, row.task);
+    noteRunBegan(state, job, row.task);
     state.logDetail("run_adopted", [&] {
         return fmt::format("job={} task={} run={} worker={}", job.spec.name.value,
                            toString(row.task), row.run, worker.info.id.value);
@@ -156,7 +156,7 @@
         return;
     }
     if (task.phase != task_phase::running)
-        noteRunBegan(*bound->job, row.task);
+        noteRunBegan(state, *bound->job, row.task);
     if (task.phase == task_phase::starting || task.phase == task_phase::uncertain)
         task.phase = task_phase::running;
     if (!row.checkpoint.empty())
@@ -460,7 +460,7 @@
     switch (result.outcome) {
     case command_outcome::done:
         task->phase = task_phase::running;
-        noteRunBegan(*state.findJob(command.task.job), command.task);
+        noteRunBegan(state, *state.findJob(command.task.job), command.task);
         onRunConfirmed(state, *worker, command.task, *task);
         if (!worker->isPollInFlight)
             state.bringPollForward(*worker, state.now + pollPause);
--- a/test/failure/scheduler_departed_worker.h
+++ b/test/failure/scheduler_departed_worker.h
@@ -42,6 +42,17 @@
         return used->second;
     }
 
+    // Returns the first worker that runs a task of the job.
+    fake_worker &firstWorkerOf(const job_spec &spec)
+    {
+        const auto hasTask = [&](const auto &entry) {
+            const auto &runs = entry.second.runs;
+            return std::any_of(runs.begin(), runs.end(),
+                               [&](const auto &run) { return run.first.job == spec.name; });
+        };
+        return std::find_if(world.workers.begin(), world.workers.end(), hasTask)->second;
+    }
+
     // Returns the number of runs of the job on workers that are up.
     std::size_t runCount(const job_spec &spec) const
     {
