Wait once for the lease of a lost worker, whoever owns the jobs

What callers saw: lasting tasks of lost workers did not run again as long as owners followed each other every few seconds (LOST).

Cause: a new owner assumed that each worker of the stored list had been granted a lease at the moment of its own election. So each owner waited 8 s anew, and what earlier ones knew about silent workers was lost.

Change: each host bounds the authority of earlier owners by when it first saw a later one. The stored list names silent workers with the last epoch that may have granted them a lease and the time left of it; such a worker gets no lease and no task before a list without it is durable. The list of workers moves from commit_log to worker_list and silent_workers.

The tests of takeovers, faults (110) and departed workers pass.

--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -220,11 +220,7 @@
                              }));
     }
 
-    void onElected(std::int64_t epoch) override
-    {
-        electedAt = loop.now();
-        readRecords(epoch);
-    }
+    void onElected(std::int64_t epoch) override { readRecords(epoch); }
 
     void onDeposed() override
     {
@@ -335,8 +331,7 @@
             records.push_back({entry.key, entry.value});
         workers.reset();
         core.setAuthority(loop.now(), authorityUntil, exclusiveUntil);
-        core.takeOver(loop.now(), unixNowMs(), epoch, records,
-                      electedAt + election_settings().authorityLimit);
+        core.takeOver(loop.now(), unixNowMs(), epoch, records, election.earlierAuthority());
         callbacks.ownershipChanged(true);
         router.onHostReachable(settings.host);
         scheduleCore();
@@ -464,7 +459,6 @@
     call_token lastToken = 0;
     instant authorityUntil;
     instant exclusiveUntil;
-    instant electedAt;
     instant handoverDeadline;
     bool wasCoreOwner = false;
     bool isDraining = false;
--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -2,11 +2,13 @@
 
 #include "job_intake.h"
 #include "record_codec.h"
+#include "silent_workers.h"
 #include "task_lifecycle.h"
 
 #include <algorithm>
 #include <fmt/format.h>
 #include <sstream>
+#include <utility>
 
 namespace crocuswind::scheduler {
 
@@ -62,16 +64,6 @@
     return text.substr(0, prefix.size()) == prefix;
 }
 
-// Formats one worker per line: its identifier and its address. A later owner polls that address
-// even if service discovery no longer lists the worker.
-std::string formatWorkerList(const scheduler_state &state)
-{
-    std::string text;
-    for (const auto &[id, worker] : state.workers)
-        text += id.value + ' ' + worker.info.address + '\n';
-    return text;
-}
-
 // Returns true if all tasks that may be on the worker are known and no other task can start there.
 bool hasKnownTasks(const scheduler_state &state, const worker_record &worker)
 {
@@ -158,9 +150,8 @@
 
 void addWorkerList(scheduler_state &state, commit_batch &batch)
 {
-    batch.puts.push_back({workersKey(state), formatWorkerList(state), 0});
-    for (const auto &[id, worker] : state.workers)
-        state.committingWorkers.emplace_back(id, worker.info.address);
+    state.committingWorkers = takeWorkerList(state);
+    batch.puts.push_back({workersKey(state), toText(*state.committingWorkers), 0});
     state.isWorkerListDirty = false;
 }
 
@@ -267,25 +258,6 @@
         state.jobs.erase(name);
 }
 
-void readWorkers(scheduler_state &state, const std::string &text, instant inheritedUntil)
-{
-    std::size_t begin = 0;
-    for (std::size_t end = text.find('\n'); end != std::string::npos;
-         end = text.find('\n', begin)) {
-        const std::string line = text.substr(begin, end - begin);
-        begin = end + 1;
-        const std::size_t space = std::min(line.rfind(' '), line.size());
-        const worker_id id{line.substr(0, space)};
-        if (id.empty())
-            continue;
-        worker_record &worker = state.workers[id];
-        worker.info.id = id;
-        worker.info.address = line.substr(std::min(space + 1, line.size()));
-        worker.lease.limitLapse(inheritedUntil);
-        state.unreportedWorkers.add(id);
-    }
-}
-
 // Reads a leaving record. It limits the tasks that may be on the worker only if the previous owner
 // wrote it: a record of an older epoch does not include tasks started since.
 void readLeaving(scheduler_state &state, const worker_id &id, const std::string &text)
@@ -438,15 +410,8 @@
     state.committing.clear();
     for (const auto &[name, waiters] : finished)
         finishRecord(state, name, waiters);
-    for (const auto &[id, address] : state.committingWorkers) {
-        worker_record *worker = state.findWorker(id);
-        if (worker == nullptr || worker->isInStoredList || worker->info.address != address)
-            continue;
-        worker->isInStoredList = true;
-        state.noteWorkerChanged(*worker);
-        state.isDispatchWanted = true;
-    }
-    state.committingWorkers.clear();
+    if (const auto list = std::exchange(state.committingWorkers, std::nullopt))
+        noteListStored(state, *list);
     finishLeavingRecords(state);
 }
 
@@ -463,8 +428,8 @@
         append(found->second.cancellations, waiters.cancellations);
         append(found->second.completions, waiters.completions);
     }
-    state.isWorkerListDirty = state.isWorkerListDirty || !state.committingWorkers.empty();
-    state.committingWorkers.clear();
+    state.isWorkerListDirty = state.isWorkerListDirty || state.committingWorkers.has_value();
+    state.committingWorkers.reset();
     for (const auto &[id, isLeaving] : state.committingLeaving)
         state.scheduleLeavingRecord(id, state.now);
     state.committingLeaving.clear();
@@ -496,7 +461,7 @@
 }
 
 void loadRecords(scheduler_state &state, const std::vector<stored_record> &records,
-                 std::int64_t unixNowMs, instant inheritedUntil)
+                 std::int64_t unixNowMs, const earlier_authority &authority)
 {
     const std::string jobPrefix = state.settings.keyPrefix + "job/";
     const std::string progressPrefix = state.settings.keyPrefix + "run/";
@@ -504,7 +469,7 @@
         if (startsWith(record.key, jobPrefix))
             readAcceptance(state, record);
         else if (record.key == workersKey(state))
-            readWorkers(state, record.value, inheritedUntil);
+            restoreWorkers(state, parseWorkerList(record.value), authority);
         else if (record.key == modelKey(state))
             state.interference.decode(record.value);
     }
--- a/packages/scheduler/commit_log.h
+++ b/packages/scheduler/commit_log.h
@@ -40,7 +40,7 @@
 /// Restores the jobs, the list of workers and the interference model from the records of an earlier
 /// owner.
 void loadRecords(scheduler_state &state, const std::vector<stored_record> &records,
-                 std::int64_t unixNowMs, instant inheritedUntil);
+                 std::int64_t unixNowMs, const earlier_authority &authority);
 
 } // namespace crocuswind::scheduler
 
--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -57,6 +57,13 @@
         ports.submit(lastToken, operation, now + limit);
     }
 
+    // Once there is an owner of this epoch, the store confirms no earlier one.
+    void noteEpoch(std::int64_t epoch)
+    {
+        earlier.limit(epoch - 1, now + settings.authorityLimit);
+        earlier.forgetBefore(now);
+    }
+
     // Candidacy.
 
     void updateCandidacy()
@@ -164,6 +171,7 @@
         if (result && result->succeeded) {
             epochRecord = pendingEpochRecord;
             epochRevision = result->revision;
+            noteEpoch(epochRecord.epoch);
             owner = owner_info{settings.host, settings.address, epochRecord.epoch};
             ownerRevision = result->revision;
             currentStage = stage::owner;
@@ -338,6 +346,7 @@
 
     bool isOwnerKnown = false;
     std::optional<owner_info> owner;
+    earlier_authority earlier;
     std::int64_t ownerRevision = 0; ///< The store's revision when the owner's key was last read.
     std::optional<instant> candidateAt;
 
@@ -394,6 +403,8 @@
     i.ownerRevision = revision;
     const std::optional<owner_info> owner = value ? parseOwner(*value) : std::nullopt;
     i.isOwnerKnown = true;
+    if (owner)
+        i.noteEpoch(owner->epoch);
     const bool isSelf = owner && owner->host == i.settings.host;
     if (i.currentStage == implementation::stage::owner) {
         if (owner && !(isSelf && owner->epoch == i.epochRecord.epoch))
@@ -515,6 +526,11 @@
     return m_implementation->currentStage == implementation::stage::owner;
 }
 
+const earlier_authority &owner_election::earlierAuthority() const
+{
+    return m_implementation->earlier;
+}
+
 std::int64_t owner_election::epoch() const
 {
     return m_implementation->epochRecord.epoch;
--- a/packages/scheduler/owner_election.h
+++ b/packages/scheduler/owner_election.h
@@ -2,6 +2,7 @@
 #ifndef CROCUSWIND_SCHEDULER_OWNER_ELECTION_H
 #define CROCUSWIND_SCHEDULER_OWNER_ELECTION_H
 
+#include "earlier_authority.h"
 #include "scheduler_core.h"
 #include "scheduler_ports.h"
 
@@ -20,9 +21,9 @@
     std::string keyPrefix = "cw/";
     std::int64_t leaseSeconds = 1; ///< The owner's key expires this long after its last renewal.
     duration renewInterval = 300ms;
-    /// How far past the last confirmation by the store the owner may extend leases of workers. A
-    /// new owner waits for the same time before it treats the runs of an unreachable worker as
-    /// ended.
+    /// How far past the last confirmation by the store the owner may extend leases of workers.
+    /// Later owners treat the runs of an unreachable worker as ended after the same time, counted
+    /// from when they saw the first later owner.
     duration authorityLimit = 8s;
     duration candidacyDelay = duration::zero(); ///< Delay before this host tries to become owner.
 };
@@ -120,6 +121,9 @@
     bool isOwner() const;
     std::int64_t epoch() const;
 
+    /// Returns until when the owners that this host has seen replaced could extend leases.
+    const earlier_authority &earlierAuthority() const;
+
 private:
     struct implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -6,6 +6,7 @@
 #include "evacuation.h"
 #include "job_intake.h"
 #include "scheduler_state.h"
+#include "silent_workers.h"
 #include "task_lifecycle.h"
 #include "worker_choice.h"
 #include "worker_reports.h"
@@ -150,7 +151,7 @@
         state.stopsToResend.clear();
         state.isWorkerListDirty = false;
         state.leavingDue.clear();
-        state.committingWorkers.clear();
+        state.committingWorkers.reset();
         state.committingLeaving.clear();
         state.discardChooser();
         state.pollQueue = {};
@@ -188,7 +189,8 @@
 scheduler_core::~scheduler_core() = default;
 
 void scheduler_core::takeOver(instant now, std::int64_t unixNowMs, std::int64_t epoch,
-                              const std::vector<stored_record> &records, instant inheritedUntil)
+                              const std::vector<stored_record> &records,
+                              const earlier_authority &authority)
 {
     implementation &i = *m_implementation;
     i.setNow(now);
@@ -201,7 +203,7 @@
     state.epoch = epoch;
     state.tookOverAt = now;
     state.nextCommitAt = now;
-    loadRecords(state, records, unixNowMs, inheritedUntil);
+    loadRecords(state, records, unixNowMs, authority);
     for (auto &[id, worker] : state.workers) {
         state.schedulePoll(worker, now);
         state.noteRunsChanged(worker);
@@ -228,10 +230,16 @@
 {
     implementation &i = *m_implementation;
     i.setNow(now);
-    i.state.isHandingOver = true;
+    const bool isFirstCall = !std::exchange(i.state.isHandingOver, true);
     i.state.nextCommitAt = now;
+    // The next owner counts the time left of silent leases from when it reads it.
+    if (isFirstCall)
+        i.state.nextSilentListAt = now;
+    if (isFirstCall && i.state.isOwner)
+        reviewSilentWorkers(i.state);
     flushCommits(i.state);
-    return !i.state.isOwner || (!i.state.isCommitting && i.state.dirtyJobs.empty());
+    return !i.state.isOwner
+        || (!i.state.isCommitting && !i.state.isWorkerListDirty && i.state.dirtyJobs.empty());
 }
 
 void scheduler_core::setAuthority(instant now, instant authorityUntil, instant exclusiveUntil)
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSWIND_SCHEDULER_SCHEDULER_CORE_H
 #define CROCUSWIND_SCHEDULER_SCHEDULER_CORE_H
 
+#include "earlier_authority.h"
 #include "job_calls.h"
 #include "scheduler_ports.h"
 
@@ -74,9 +75,9 @@
 
     /// Takes over all jobs under \p epoch. \p records are all entries of the store with the
     /// settings' key prefix. \p unixNowMs is the Unix time at \p now and converts due times. Leases
-    /// granted by earlier owners lapse by \p inheritedUntil at the latest.
+    /// granted by earlier owners lapse by the end of their \p authority.
     void takeOver(instant now, std::int64_t unixNowMs, std::int64_t epoch,
-                  const std::vector<stored_record> &records, instant inheritedUntil);
+                  const std::vector<stored_record> &records, const earlier_authority &authority);
 
     /// Discards the state of all jobs and workers because another host owns the jobs. Pending calls
     /// are answered with `not_owner`.
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -6,11 +6,13 @@
 #include "scheduler_core.h"
 #include "start_window.h"
 #include "unreported_workers.h"
+#include "worker_list.h"
 
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <unordered_map>
@@ -106,13 +108,13 @@
     std::vector<std::pair<job_name, job_waiters>> committing; ///< Jobs in the batch in flight.
     bool isCommitting = false;
     bool isWorkerListDirty = false;
+    instant nextSilentListAt; ///< When the list is stored again while a worker is silent.
     /// Workers whose leaving record (the tasks that may be on a leaving worker) has to be written
     /// or removed, and when.
     std::map<worker_id, instant> leavingDue;
     instant nextModelAt; ///< Earliest time of the next write of the interference model.
     std::string storedModel; ///< The interference model as last written.
-    /// The workers in the worker list of the batch in flight, with their addresses.
-    std::vector<std::pair<worker_id, std::string>> committingWorkers;
+    std::optional<worker_list> committingWorkers; ///< In the batch in flight.
     /// Workers whose leaving record is written (true) or removed (false) by the batch in flight.
     std::map<worker_id, bool> committingLeaving;
     instant nextCommitAt;
--- /dev/null
+++ b/packages/scheduler/silent_workers.h
@@ -0,0 +1,33 @@
+/// Keeps the stored list of workers up to date on those that do not answer, so that owners that
+/// follow each other wait only once for the lease of such a worker. Private to the package.
+#ifndef CROCUSWIND_SCHEDULER_SILENT_WORKERS_H
+#define CROCUSWIND_SCHEDULER_SILENT_WORKERS_H
+
+#include "scheduler_state.h"
+#include "worker_list.h"
+
+namespace crocuswind::scheduler {
+
+/// Returns true if the worker does not answer this owner. It remains silent when its lease has
+/// lapsed and its runs are given up, so that a later owner need not wait for it either.
+bool isSilent(const scheduler_state &state, const worker_record &worker);
+
+/// Has the list of workers stored when a worker has become silent, when one that is stored as
+/// silent answers again, and at intervals while the lease of a silent one lasts.
+void reviewSilentWorkers(scheduler_state &state);
+
+/// Returns the list of workers to store now. The workers that it names as silent get no lease from
+/// then on, because the list may become durable.
+worker_list takeWorkerList(scheduler_state &state);
+
+/// Records that \p list is durable.
+void noteListStored(scheduler_state &state, const worker_list &list);
+
+/// Restores the workers of an earlier owner, none of which has reported yet. Leases granted by
+/// earlier owners end with their authority at the latest.
+void restoreWorkers(scheduler_state &state, const worker_list &list,
+                    const earlier_authority &authority);
+
+} // namespace crocuswind::scheduler
+
+#endif
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -70,10 +70,10 @@
 
 bool isEligible(const scheduler_state &state, const worker_record &worker)
 {
-    return worker.isListed && worker.isInStoredList && !worker.mayHaveLeavingRecord
-        && worker.hasReported && !worker.info.isDraining && worker.failedPolls == 0
-        && !worker.hasStrayRuns && worker.avoidedUntil <= state.now && worker.lease.isClockKnown()
-        && !mayHaveForgottenEpoch(state, worker);
+    return worker.isListed && worker.isInStoredList && !worker.isStoredAsSilent
+        && !worker.mayHaveLeavingRecord && worker.hasReported && !worker.info.isDraining
+        && worker.failedPolls == 0 && !worker.hasStrayRuns && worker.avoidedUntil <= state.now
+        && worker.lease.isClockKnown() && !mayHaveForgottenEpoch(state, worker);
 }
 
 bool hasRequiredLabel(const step_spec &step, const worker_record &worker)
--- /dev/null
+++ b/packages/scheduler/worker_list.cpp
@@ -0,0 +1,59 @@
+#include "worker_list.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace crocuswind::scheduler {
+
+namespace {
+
+/// Far longer than any lease.
+constexpr std::int64_t maxTimeLeftMs = 3600000;
+
+std::vector<silent_lease> parseSilentLeases(std::string_view text)
+{
+    std::vector<silent_lease> leases;
+    std::istringstream words{std::string(text)};
+    for (silent_lease lease; words >> lease.worker.value;) {
+        const bool isRead = bool(words >> lease.lastEpoch >> lease.timeLeftMs);
+        if (!isRead || lease.timeLeftMs < 0 || lease.timeLeftMs > maxTimeLeftMs)
+            return {};
+        leases.push_back(lease);
+    }
+    return leases;
+}
+
+} // namespace
+
+std::string toText(const worker_list &list)
+{
+    std::string text;
+    for (const stored_worker &worker : list.workers)
+        text += worker.id.value + ' ' + worker.address + '\n';
+    for (const silent_lease &lease : list.silent)
+        text += lease.worker.value + ' ' + std::to_string(lease.lastEpoch) + ' '
+            + std::to_string(lease.timeLeftMs) + ' ';
+    return text;
+}
+
+worker_list parseWorkerList(std::string_view text)
+{
+    worker_list list;
+    std::size_t begin = 0;
+    for (std::size_t end = text.find('\n'); end != std::string_view::npos;
+         end = text.find('\n', begin)) {
+        const std::string_view line = text.substr(begin, end - begin);
+        begin = end + 1;
+        const std::size_t space = std::min(line.rfind(' '), line.size());
+        stored_worker worker;
+        worker.id.value = line.substr(0, space);
+        worker.address = line.substr(std::min(space + 1, line.size()));
+        if (!worker.id.empty())
+            list.workers.push_back(std::move(worker));
+    }
+    list.silent = parseSilentLeases(text.substr(begin));
+    return list;
+}
+
+} // namespace crocuswind::scheduler
--- a/packages/scheduler/worker_record.cpp
+++ b/packages/scheduler/worker_record.cpp
@@ -1,6 +1,7 @@
 #include "worker_record.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace crocuswind::scheduler {
 
@@ -38,14 +39,15 @@
     return until;
 }
 
-bool worker_lease::hasLapsed(instant now) const
+instant worker_lease::lapsesBy() const
 {
-    if (m_inheritedUntil && now < *m_inheritedUntil)
-        return false;
+    const instant inherited = m_inheritedUntil.value_or(instant());
     if (!m_reading)
-        return true;
-    const double passed = double(toMs(now - m_reading->at)) * (1 - maxClockSlowness);
-    return double(m_reading->clockMs) + passed > double(m_grantedUntilMs);
+        return inherited;
+    const double leftMs = double(m_grantedUntilMs - m_reading->clockMs) / (1 - maxClockSlowness);
+    const instant granted
+        = m_reading->at + std::chrono::milliseconds(std::int64_t(std::ceil(leftMs)));
+    return std::max(inherited, granted);
 }
 
 bool worker_lease::isClockReset(std::int64_t clockMs, instant now) const
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -102,6 +102,9 @@
     /// Returns true if the clock was read in this incarnation of the worker.
     bool isClockKnown() const { return m_reading.has_value(); }
 
+    /// Returns true if this owner has granted a lease to this incarnation of the worker.
+    bool isGranted() const { return m_grantedUntilMs != 0; }
+
     /// Extends the lease to \p deadline, a time of the owner's clock. Returns the corresponding
     /// time of the worker's clock for use in a command. The worker's clock must be known.
     std::int64_t grantUntil(instant deadline, instant now);
@@ -109,7 +112,10 @@
     /// Returns true if the lease has certainly expired, so that no run started under it can exist.
     /// Assumes the slowest possible clock of the worker. If no clock reading is known, only the
     /// limit set by `limitLapse()` counts.
-    bool hasLapsed(instant now) const;
+    bool hasLapsed(instant now) const { return now > lapsesBy(); }
+
+    /// Returns the latest time at which the lease lapses, under the same assumptions.
+    instant lapsesBy() const;
 
     /// Notes that an earlier owner or an earlier incarnation may hold a lease, which lapses at
     /// \p latest at the latest.
@@ -219,6 +225,11 @@
     bool hasReported = false;
     instant firstReportAt; ///< Time of the first such report.
     worker_lease lease;
+    std::int64_t lastLeaseEpoch
+        = 0; ///< No owner after this epoch, but for this one, granted a lease.
+    /// The stored list of workers may name the worker as silent. It gets no lease and no task,
+    /// because a later owner would not know of them.
+    bool isStoredAsSilent = false;
     completion_cursor completions;
     std::int64_t incarnationStartUnixMs
         = 0; ///< Start of the incarnation, as reported; 0 if not known.
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -3,6 +3,7 @@
 #include "evacuation.h"
 #include "pace_control.h"
 #include "run_binding.h"
+#include "silent_workers.h"
 #include "task_lifecycle.h"
 
 #include <algorithm>
@@ -35,8 +36,10 @@
 constexpr duration unsettledPollInterval = 2s;
 /// A worker that does not answer is polled again after this time.
 constexpr duration failedPollInterval = 250ms;
-/// Runs are given up only after this many consecutive polls without an answer.
+/// Runs are given up only after this many consecutive polls without an answer. For a worker that is
+/// stored as silent, one is enough: earlier ones have failed before.
 constexpr int minFailedPolls = 2;
+constexpr int minFailedPollsOfSilentWorker = 1;
 /// Poll interval of a replaced worker. Service discovery removes it within a few seconds.
 constexpr duration replacedPollInterval = 1s;
 
@@ -87,11 +90,13 @@
     const auto lease = leaseEnd(state);
     // A worker that does not answer may still receive the poll. If each poll renewed its lease, the
     // lease could never be known to have lapsed.
-    const bool renewsLease
-        = lease && worker.lease.isClockKnown() && !worker.runs.empty() && worker.failedPolls == 0;
+    const bool renewsLease = lease && worker.lease.isClockKnown() && !worker.runs.empty()
+        && worker.failedPolls == 0 && !worker.isStoredAsSilent;
     if (renewsLease)
         command.leaseUntilMs = worker.lease.grantUntil(*lease, state.now);
-    if (isSameIncarnationLikely && !worker.runs.empty() && !worker.completions.hasUnsettled())
+    const bool mayWait = isSameIncarnationLikely && !worker.runs.empty()
+        && !worker.completions.hasUnsettled() && !worker.isStoredAsSilent;
+    if (mayWait)
         command.waitMs = pollWaitOf(state, worker);
     worker.isPollInFlight = true;
     ++state.counters.polls;
@@ -244,6 +249,8 @@
 {
     if (worker.completions.hasUnsettled())
         state.schedulePoll(worker, state.now + unsettledPollInterval);
+    else if (worker.isStoredAsSilent)
+        state.schedulePoll(worker, state.now + failedPollInterval);
     else if (needsPolling(worker))
         state.schedulePoll(worker, state.now + pollPause);
     else
@@ -308,6 +315,20 @@
     return "unknown";
 }
 
+// Logs that tasks which an earlier owner may have started on the worker may start elsewhere.
+void logGivenUp(const scheduler_state &state, const worker_record &worker)
+{
+    if (!state.unreportedWorkers.contains(worker.info.id))
+        return;
+    const auto since
+        = std::chrono::duration_cast<std::chrono::milliseconds>(state.now - state.tookOverAt);
+    state.ports.log("former_worker_given_up",
+                    fmt::format("worker={} last_lease_epoch={} stored_as_silent={} failed_polls={} "
+                                "since_take_over_ms={}",
+                                worker.info.id.value, worker.lastLeaseEpoch,
+                                worker.isStoredAsSilent, worker.failedPolls, since.count()));
+}
+
 void notePollFailure(scheduler_state &state, worker_record &worker, command_outcome outcome)
 {
     if (worker.failedPolls++ == 0)
@@ -338,6 +359,7 @@
     worker.completions = completion_cursor();
     worker.lease = worker_lease();
     worker.lease.limitLapse(state.now + state.settings.longestLease);
+    worker.lastLeaseEpoch = state.epoch;
     worker.ackedCompletions = 0;
     worker.hasReported = false;
     worker.incarnationStartUnixMs = incarnationStartUnixMs;
@@ -382,6 +404,8 @@
         const bool mayHaveInheritedRuns = state.unreportedWorkers.contains(id);
         if (worker.runs.empty() && !mayHaveInheritedRuns)
             continue;
+        const int neededFailures
+            = worker.isStoredAsSilent ? minFailedPollsOfSilentWorker : minFailedPolls;
         // Runs are given up only while no later owner can exist, which could have found them and
         // renewed the lease. The lease is checked at the time up to which input has been handled,
         // because a process that was delayed may run its timers before it reads reports that
@@ -389,12 +413,14 @@
         // processor time may not have polled the worker in time; such a worker can still report its
         // runs.
         if (worker.lease.hasLapsed(state.inputHandledUntil) && state.now < state.exclusiveUntil
-            && worker.failedPolls >= minFailedPolls) {
+            && worker.failedPolls >= neededFailures) {
+            logGivenUp(state, worker);
             handleLostRuns(state, worker, "lease_lapsed");
             worker.hasReported = false;
             markReported(state, id);
         }
     }
+    reviewSilentWorkers(state);
     resendStops(state);
 }
 
--- a/packages/scheduler/worker_reports.h
+++ b/packages/scheduler/worker_reports.h
@@ -14,7 +14,7 @@
 instant nextWorkerWake(const scheduler_state &state);
 
 /// Gives up the runs on unreachable workers whose lease has lapsed, and sends unanswered stop
-/// commands again.
+/// commands again. Has the list of workers stored if workers have fallen silent or answer again.
 void reviewWorkers(scheduler_state &state);
 
 void handlePollResult(scheduler_state &state, const poll_command &command,
--- a/test/correctness/scheduler_dispatch_cost_test.cpp
+++ b/test/correctness/scheduler_dispatch_cost_test.cpp
@@ -57,7 +57,7 @@
             policies.push_back(policy);
         }
         core.setQueues(now, policies);
-        core.takeOver(now, 0, 1, {}, now);
+        core.takeOver(now, 0, 1, {}, {});
         for (int i = 0; i < workerCount; ++i) {
             worker_info info;
             info.id.value = fmt::format("w{:03}", i);
--- a/test/correctness/scheduler_report_fleet.h
+++ b/test/correctness/scheduler_report_fleet.h
@@ -90,7 +90,7 @@
         policy.service.value = "pool";
         core.setQueues(now, {policy});
         core.setAuthority(now, now + 1000000s, now + 1000000s);
-        core.takeOver(now, clockMs(), 1, {}, now);
+        core.takeOver(now, clockMs(), 1, {}, {});
         core.onWorkersSynchronized(now, now + 1000000s);
         for (int i = 0; i < workers; ++i) {
             worker_info info;
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -97,6 +97,7 @@
     std::string name;
     scheduler_core core;
     std::int64_t epoch = 0;
+    earlier_authority authority; ///< Of earlier owners, as far as this host has seen.
     bool isDead = false;
     bool isStoreUnreachable = false;
     instant stalledUntil; ///< The process is suspended until then; incoming messages queue up.
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -445,13 +445,16 @@
 inline void scheduler_world::takeOver(fake_host &owner)
 {
     owner.epoch = ++storeEpoch;
+    for (const auto &host : hosts) {
+        if (!host->isDead && (!host->isStoreUnreachable || host.get() == &owner))
+            host->authority.limit(owner.epoch - 1, now + election_settings().authorityLimit);
+    }
     std::vector<stored_record> records;
     for (const auto &[key, value] : store)
         records.push_back({key, value});
     owner.core.setQueues(now, queues);
     confirmOwnership(owner);
-    owner.core.takeOver(now, unixMs(), owner.epoch, records,
-                        now + election_settings().authorityLimit);
+    owner.core.takeOver(now, unixMs(), owner.epoch, records, owner.authority);
     for (const auto &[id, worker] : workers) {
         if (worker.isListed)
             owner.core.onWorker(now, worker.info);
--- /dev/null
+++ b/test/error/scheduler_worker_list_test.cpp
@@ -0,0 +1,78 @@
+// Guards against a stored list of workers that is misread, which would let a new owner start tasks
+// while a former worker may still run them.
+
+#include "scheduler/earlier_authority.h"
+#include "scheduler/worker_list.h"
+
+#include <gtest/gtest.h>
+
+using namespace crocuswind;
+using namespace crocuswind::scheduler;
+
+namespace {
+
+const worker_list sample{{{{"w0"}, "10.0.0.1:80"}, {{"w1"}, ""}}, {{{"w1"}, 7, 5200}}};
+
+} // namespace
+
+TEST(WorkerList, IsReadAsWritten)
+{
+    EXPECT_EQ(parseWorkerList(toText(sample)), sample);
+    EXPECT_EQ(parseWorkerList(""), worker_list());
+}
+
+// A host of an earlier build reads the lines and ignores what follows the last one.
+TEST(WorkerList, KeepsSilentLeasesOutOfTheLines)
+{
+    const std::string text = toText(sample);
+    EXPECT_EQ(text.substr(0, text.rfind('\n') + 1), "w0 10.0.0.1:80\nw1 \n");
+}
+
+TEST(WorkerList, AssumesTheLongestLeasesIfSilentOnesCannotBeRead)
+{
+    for (const char *bad :
+         {"w1", "w1 7", "w1 x 5", "w1 7 -1", "w1 7 99999999999999", "w1 7 5 w2"}) {
+        const worker_list list = parseWorkerList(std::string("w0 a\nw1 b\n") + bad);
+        EXPECT_EQ(list.workers.size(), 2U) << bad;
+        EXPECT_TRUE(list.silent.empty()) << bad;
+    }
+}
+
+TEST(EarlierAuthority, EndsOnceALaterOwnerIsSeen)
+{
+    const instant start{100s};
+    earlier_authority authority;
+    EXPECT_EQ(authority.endOf(1), instant::max());
+    authority.limit(1, start + 8s);
+    authority.limit(4, start + 10s);
+    EXPECT_EQ(authority.endOf(1), start + 8s);
+    EXPECT_EQ(authority.endOf(2), start + 10s);
+    EXPECT_EQ(authority.endOf(4), start + 10s);
+    EXPECT_EQ(authority.endOf(5), instant::max());
+}
+
+// The key of an owner is seen again and again, and a read may return an earlier one.
+TEST(EarlierAuthority, KeepsTheEarliestEnd)
+{
+    const instant start{100s};
+    earlier_authority authority;
+    authority.limit(4, start + 8s);
+    authority.limit(4, start + 9s);
+    authority.limit(2, start + 10s);
+    EXPECT_EQ(authority.endOf(2), start + 8s);
+    EXPECT_EQ(authority.endOf(4), start + 8s);
+    authority.limit(6, start + 7s);
+    EXPECT_EQ(authority.endOf(4), start + 7s);
+}
+
+TEST(EarlierAuthority, RemembersThatAnEndHasPassed)
+{
+    const instant start{100s};
+    earlier_authority authority;
+    authority.limit(1, start + 1s);
+    authority.limit(2, start + 2s);
+    authority.limit(3, start + 30s);
+    authority.forgetBefore(start + 10s);
+    EXPECT_LE(authority.endOf(1), start + 10s);
+    EXPECT_EQ(authority.endOf(3), start + 30s);
+}
--- a/test/failure/scheduler_end_durability_test.cpp
+++ b/test/failure/scheduler_end_durability_test.cpp
@@ -36,7 +36,7 @@
         policy.attemptLimit = 1;
         core.setQueues(now, {policy});
         core.setAuthority(now, now + 1000s, now + 1000s);
-        core.takeOver(now, 0, 1, {}, now);
+        core.takeOver(now, 0, 1, {}, {});
         core.onWorkersSynchronized(now, now + 1000s);
         for (const worker_id &id : {one, two, three}) {
             worker_info info;
--- /dev/null
+++ b/test/failure/scheduler_silent_lease_test.cpp
@@ -0,0 +1,229 @@
+// Guards against owners in turn that each wait anew for the lease of the same lost worker, so that
+// its tasks never run again, and against tasks that are started while a lease may still last.
+
+#include "scheduler_departed_worker.h"
+
+#include <cstdlib>
+
+using namespace crocuswind;
+using namespace crocuswind::scheduler;
+
+namespace {
+
+/// A continuous task must run again at most this long after its last run ended: 6 s, and 3 s until
+/// its absence counts.
+constexpr duration longestAbsence = 9s;
+
+/// Eight continuous tasks on four workers, and hosts that own the jobs in turn.
+struct silent_lease_test : departed_worker
+{
+    silent_lease_test()
+        : third(world.addHost("host-3"))
+        , fourth(world.addHost("host-4"))
+    {
+        world.runTime = [](const task_name &) { return 1000s; };
+        spec = submit(first, "a", 8, true);
+        world.run(500ms);
+    }
+
+    // Removes a worker without a trace: connections to it time out.
+    void loseWorker()
+    {
+        fake_worker &lost = firstBusyWorker();
+        world.removeWorker(lost);
+        lost.refusesConnections = false;
+        lostAt = world.now;
+    }
+
+    void runUntil(duration sinceLoss) { world.run(lostAt + sinceLoss - world.now); }
+
+    // Kills the owner; the next one takes over 1.2 s later.
+    void replace(fake_host &owner, fake_host &next)
+    {
+        owner.isDead = true;
+        world.run(1200ms);
+        world.takeOver(next);
+    }
+
+    // Stops the owner as planned; the next one takes over 200 ms later.
+    void handOver(fake_host &owner, fake_host &next)
+    {
+        while (!owner.core.prepareHandover(world.now))
+            world.run(10ms);
+        owner.core.giveUp(world.now);
+        world.run(200ms);
+        world.takeOver(next);
+    }
+
+    job_spec spec;
+    fake_host &third;
+    fake_host &fourth;
+    instant lostAt;
+};
+
+// CROCUSWIND_SEEDS sets the number of seeds for a longer run by hand.
+int seedCount()
+{
+    constexpr int seedsInCi = 150;
+    const char *given = std::getenv("CROCUSWIND_SEEDS");
+    return given == nullptr ? seedsInCi : std::atoi(given);
+}
+
+} // namespace
+
+TEST_F(silent_lease_test, IsAwaitedOnceByOwnersThatAreStopped)
+{
+    loseWorker();
+    runUntil(300ms);
+    handOver(first, second);
+    runUntil(3s);
+    handOver(second, third);
+    runUntil(6s);
+    handOver(third, fourth);
+    runUntil(longestAbsence);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+TEST_F(silent_lease_test, IsAwaitedOnceByOwnersThatAreKilled)
+{
+    first.isDead = true;
+    loseWorker();
+    runUntil(200ms);
+    world.takeOver(second);
+    runUntil(2500ms);
+    replace(second, third);
+    runUntil(6s);
+    replace(third, fourth);
+    runUntil(longestAbsence);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// The owner knew for how long the worker had been silent; its successor did not.
+TEST_F(silent_lease_test, IsKnownToTheNextOwner)
+{
+    loseWorker();
+    runUntil(4s);
+    replace(first, second);
+    runUntil(longestAbsence);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// An owner that was elected but never read the records changes nothing.
+TEST_F(silent_lease_test, IsKnownDespiteAnOwnerThatNeverServed)
+{
+    loseWorker();
+    runUntil(4s);
+    first.isDead = true;
+    ++world.storeEpoch;
+    world.run(1200ms);
+    world.takeOver(third);
+    runUntil(longestAbsence);
+    EXPECT_EQ(runCount(spec), 8U);
+}
+
+// The former owner had given up the runs of a worker that service discovery still listed. The next
+// owner waited for that worker once more.
+TEST_F(silent_lease_test, IsNotAwaitedOnceItHasLapsed)
+{
+    fake_worker &worker = firstBusyWorker();
+    for (fake_host *host : {&first, &second})
+        host->unreachableWorkers = {worker.info.id};
+    world.run(8s);
+    ASSERT_EQ(runCount(spec), 8U);
+    fake_worker &other = firstBusyWorker();
+    world.removeWorker(other);
+    other.refusesConnections = false;
+    lostAt = world.now;
+    runUntil(4s);
+    replace(first, second);
+    runUntil(longestAbsence);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// A worker that was silent for a while and then got a new lease must not be taken for one whose
+// lease has lapsed.
+TEST_F(silent_lease_test, IsForgottenBeforeTheWorkerGetsAnotherOne)
+{
+    fake_worker &worker = firstBusyWorker();
+    first.unreachableWorkers = {worker.info.id};
+    world.run(4s);
+    EXPECT_NE(world.store.at("cw/workers").back(), '\n');
+    first.unreachableWorkers.clear();
+    world.run(2s);
+    EXPECT_EQ(world.store.at("cw/workers").back(), '\n');
+    second.unreachableWorkers = {worker.info.id};
+    replace(first, second);
+    world.run(12s);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// While the store is away, the list cannot be corrected. Until it is, the worker gets no lease that
+// a later owner would not know of.
+TEST_F(silent_lease_test, IsNotRenewedWhileTheStoreIsAway)
+{
+    fake_worker &worker = firstBusyWorker();
+    first.unreachableWorkers = {worker.info.id};
+    world.run(3s);
+    world.isStoreDown = true;
+    first.unreachableWorkers.clear();
+    world.run(1500ms);
+    second.unreachableWorkers = {worker.info.id};
+    first.isDead = true;
+    world.isStoreDown = false;
+    world.takeOver(second);
+    world.run(12s);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// Random partitions between hosts and workers, crashes of workers, outages of the store, and
+// changes of the owner. No task may run twice at the same time.
+TEST(SilentLease, RandomFaultsDuplicateNoRun)
+{
+    for (int seed = 1; seed <= seedCount(); ++seed) {
+        scheduler_world world(std::uint64_t(seed) + 7000);
+        world.delayedCommandRate = 0.02;
+        world.lostResponseRate = 0.05;
+        world.runTime = [](const task_name &) { return 1000s; };
+        for (int i = 0; i < 5; ++i) {
+            fake_worker &worker = world.addWorker(fmt::format("w{}", i), "r", {4000, 8000, 0});
+            worker.clockRate = 1 - 0.02 * world.random.fraction();
+        }
+        constexpr int hosts = 16;
+        for (int i = 0; i < hosts; ++i)
+            world.addHost(fmt::format("host-{}", i));
+        std::size_t owning = 0;
+        fake_host *owner = world.hosts[owning].get();
+        world.takeOver(*owner);
+        world.run(200ms);
+        job_spec spec = plainJob("a", 12);
+        spec.steps[0].isContinuous = true;
+        owner->call(job_call_kind::submit, spec.name, &spec);
+        for (int step = 0; step < 60; ++step) {
+            world.run(100ms + world.random.below(900) * 1ms);
+            for (const auto &host : world.hosts) {
+                host->unreachableWorkers.clear();
+                for (const auto &[id, worker] : world.workers) {
+                    if (world.random.below(4) == 0)
+                        host->unreachableWorkers.insert(id);
+                }
+            }
+            world.isStoreDown = world.random.below(6) == 0;
+            if (world.random.below(5) != 0 || owning + 1 == world.hosts.size())
+                continue;
+            // The former owner is killed, or cut off from the store and serves on for a while.
+            owner->isDead = world.random.below(2) == 0;
+            owner->isStoreUnreachable = true;
+            owner = world.hosts[++owning].get();
+            world.isStoreDown = false;
+            world.run(300ms);
+            world.takeOver(*owner);
+        }
+        EXPECT_EQ(world.violations, std::vector<std::string>()) << "seed " << seed;
+    }
+}
--- a/test/performance/scheduler_decision_benchmark.cpp
+++ b/test/performance/scheduler_decision_benchmark.cpp
@@ -72,7 +72,7 @@
         policy.service.value = "pool";
         core.setQueues(now, {policy});
         core.setAuthority(now, now + 1000000s, now + 1000000s);
-        core.takeOver(now, 0, 1, {}, now);
+        core.takeOver(now, 0, 1, {}, {});
         for (int i = 0; i < workers; ++i) {
             worker_info info;
             info.id.value = fmt::format("w{:04}", i);
