Abandon a candidacy when the host is stopped

Cause: setEligible(false) had no effect on a candidacy that had begun; a planned stop looks for an ownership to hand over only once.

Change: a candidacy ends at its next answer if the host may not become the owner any more, and its lease is revoked, with the owner's key if that was already written. New log line `candidacy_abandoned`.

Measured: Election.AHostThatIsStoppedDuringItsCandidacyDoesNotBecomeTheOwner failed before at each of the three steps and passes.

--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -110,6 +110,18 @@
         candidateAt = now + retryInterval + settings.candidacyDelay;
     }
 
+    // Ends a candidacy of a host that may not become the owner any more.
+    void abandonCandidacy()
+    {
+        ports.log("candidacy_abandoned", fmt::format("lease={}", lease));
+        if (lease != 0)
+            send(call_kind::revoke, store_lease_revocation{lease}, callLimit);
+        currentStage = stage::follower;
+        lease = 0;
+    }
+
+    bool isAbandoned() const { return !isEligible && currentStage != stage::owner; }
+
     void onGranted(const store_result &result)
     {
         if (!result || result->lease == 0) {
@@ -117,6 +129,10 @@
             return;
         }
         lease = result->lease;
+        if (isAbandoned()) {
+            abandonCandidacy();
+            return;
+        }
         if (currentStage == stage::owner) {
             acquire();
             return;
@@ -131,6 +147,10 @@
             handleElectionFailure("epoch");
             return;
         }
+        if (isAbandoned()) {
+            abandonCandidacy();
+            return;
+        }
         const store_entry *entry = findEntry(*result, epochKey(settings.keyPrefix));
         epochRecord = entry == nullptr ? epoch_record() : parseEpochRecord(entry->value);
         epochRevision = entry == nullptr ? 0 : entry->modRevision;
@@ -168,6 +188,10 @@
     {
         const bool wasOwner = currentStage == stage::owner;
         isReacquiring = false;
+        if (isAbandoned()) {
+            abandonCandidacy();
+            return;
+        }
         if (result && result->succeeded) {
             epochRecord = pendingEpochRecord;
             epochRevision = result->revision;
--- a/packages/scheduler/owner_election.h
+++ b/packages/scheduler/owner_election.h
@@ -93,7 +93,7 @@
     owner_election &operator=(const owner_election &) = delete;
 
     /// Sets whether this host may become the owner. It may not while it is stopping, or if it could
-    /// not act as an owner.
+    /// not act as an owner. A candidacy that has begun is abandoned.
     void setEligible(instant now, bool isEligible);
 
     /// Reports the value of the owner's key as read or watched, or nothing if the key does not
--- a/test/failure/scheduler_election_test.cpp
+++ b/test/failure/scheduler_election_test.cpp
@@ -427,6 +427,26 @@
     EXPECT_FALSE(a.election.isOwner());
 }
 
+// A host that was stopped during its candidacy still became the owner, and kept the ownership until
+// its process ended, without acting as the owner.
+TEST(Election, AHostThatIsStoppedDuringItsCandidacyDoesNotBecomeTheOwner)
+{
+    for (int answeredCalls = 0; answeredCalls < 3; ++answeredCalls) {
+        memory_store store;
+        candidate a(store, "a");
+        a.election.setEligible(a.now, true);
+        a.readOwnerKey();
+        a.advanceTime(1ms);
+        for (int i = 0; i < answeredCalls; ++i)
+            a.executeFirst();
+        a.election.setEligible(a.now, false);
+        a.serve();
+        EXPECT_TRUE(a.elected.empty()) << answeredCalls;
+        EXPECT_EQ(store.items.count("cw/owner"), 0U) << answeredCalls;
+        EXPECT_TRUE(store.leases.empty()) << answeredCalls;
+    }
+}
+
 TEST(Election, SoleOwnershipEndsWithTheLease)
 {
     memory_store store;
