Ignore answers to calls of a former ownership in the election

Cause: calls outlived the ownership, and an answer was matched by its kind and the present stage only. Since an owner that resigned may stand again, the two can be close together.

Change: the end of an ownership forgets its open calls.

Measured: Election.AnAnswerOfAFormerOwnershipDoesNotDecideACandidacy failed before and passes.

--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -285,6 +285,10 @@
         isCommitSent = false;
         isKeyLost = false;
         isReacquiring = false;
+        unansweredEpochRecord.reset();
+        // Answers to calls of this ownership say nothing about a later one.
+        calls.clear();
+        openRenewals = 0;
         ports.onDeposed();
     }
 
--- a/test/failure/scheduler_election_test.cpp
+++ b/test/failure/scheduler_election_test.cpp
@@ -447,6 +447,32 @@
     }
 }
 
+// The answer to a rewrite of the owner's key, sent in a former ownership, was taken for the answer
+// to the write of the present candidacy, and the host acted as the owner without the key.
+TEST(Election, AnAnswerOfAFormerOwnershipDoesNotDecideACandidacy)
+{
+    memory_store store;
+    candidate a(store, "a");
+    a.becomeOwner();
+    store.endLease(store.lastLease);
+    a.readOwnerKey();
+    a.executeFirst(); // The grant of a new lease.
+    const std::uint64_t formerToken = a.waiting.front().first;
+    a.waiting.clear();
+    a.election.resign(a.now);
+    a.waiting.clear();
+    a.readOwnerKey();
+    a.advanceTime(1ms);
+    a.executeFirst(); // The grant of the candidacy's lease.
+    a.executeFirst(); // The read of the epoch.
+    store_reply formerReply;
+    formerReply.revision = store.revision + 1;
+    a.election.onStoreResult(a.now, formerToken, formerReply);
+    EXPECT_FALSE(a.election.isOwner());
+    a.serve();
+    EXPECT_TRUE(a.election.isOwner());
+}
+
 TEST(Election, SoleOwnershipEndsWithTheLease)
 {
     memory_store store;
