Count the sole ownership from the grant of its lease

Cause: a view without its age. The lease runs from the arrival of its grant; the sole ownership was counted from the later write of the owner's key.

Change: it is counted from when the grant was sent.

Measured: Election.SoleOwnershipIsCountedFromTheGrantOfTheLease failed before (0.6 s too late) and passes.

--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -87,12 +87,11 @@
         send(call_kind::grant, store_lease_grant{settings.leaseSeconds}, callLimit);
     }
 
-    // The store extends the lease of the owner's key when the renewal arrives, which is not before
-    // it was sent.
-    void confirmByLease(instant sentAt)
+    // The store extends the lease of the owner's key when the grant or the renewal arrives, which
+    // is not before it was sent.
+    void extendExclusive(instant leaseSentAt)
     {
-        exclusiveUntil = sentAt + std::chrono::seconds(settings.leaseSeconds);
-        confirm(sentAt);
+        exclusiveUntil = leaseSentAt + std::chrono::seconds(settings.leaseSeconds);
     }
 
     void confirm(instant sentAt)
@@ -122,13 +121,14 @@
 
     bool isAbandoned() const { return !isEligible && currentStage != stage::owner; }
 
-    void onGranted(const store_result &result)
+    void onGranted(const store_result &result, instant sentAt)
     {
         if (!result || result->lease == 0) {
             handleElectionFailure("lease");
             return;
         }
         lease = result->lease;
+        grantSentAt = sentAt;
         if (isAbandoned()) {
             abandonCandidacy();
             return;
@@ -201,7 +201,8 @@
             currentStage = stage::owner;
             isStoreAvailable = true;
             nextRenewAt = now + settings.renewInterval;
-            confirmByLease(sentAt);
+            extendExclusive(grantSentAt);
+            confirm(sentAt);
             if (!wasOwner) {
                 ports.log("elected", fmt::format("epoch={}", epochRecord.epoch));
                 ports.onElected(epochRecord.epoch);
@@ -246,7 +247,8 @@
         if (!result)
             return;
         if (result->ttlSeconds > 0) {
-            confirmByLease(sentAt);
+            extendExclusive(sentAt);
+            confirm(sentAt);
             return;
         }
         ports.log("lease_lost", fmt::format("epoch={}", epochRecord.epoch));
@@ -379,6 +381,7 @@
     std::optional<instant> candidateAt;
 
     std::int64_t lease = 0;
+    instant grantSentAt; ///< When the present lease was asked for; it runs from its arrival.
     epoch_record epochRecord;
     epoch_record pendingEpochRecord;
     std::optional<epoch_record> unansweredEpochRecord; ///< From a key rewrite that had no answer.
@@ -474,7 +477,7 @@
                 i.isKeyLost = true;
                 break;
             }
-            i.onGranted(result);
+            i.onGranted(result, call.sentAt);
         }
         break;
     case implementation::call_kind::read:
--- a/test/failure/scheduler_election_test.cpp
+++ b/test/failure/scheduler_election_test.cpp
@@ -473,6 +473,24 @@
     EXPECT_TRUE(a.election.isOwner());
 }
 
+// The lease runs from its grant, but the sole ownership was counted from the later write of the
+// key.
+TEST(Election, SoleOwnershipIsCountedFromTheGrantOfTheLease)
+{
+    memory_store store;
+    candidate a(store, "a");
+    a.election.setEligible(a.now, true);
+    a.readOwnerKey();
+    a.advanceTime(1ms);
+    const instant grantSentAt = a.now;
+    a.now += 300ms;
+    a.executeFirst();
+    a.now += 300ms;
+    a.serve();
+    ASSERT_TRUE(a.election.isOwner());
+    EXPECT_LE(a.exclusiveUntil, grantSentAt + 1s);
+}
+
 TEST(Election, SoleOwnershipEndsWithTheLease)
 {
     memory_store store;
