--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -4,7 +4,7 @@
 #include "run_binding.h"
 #include "task_lifecycle.h"
 #include "worker_choice.h"
-#include "worker_reports.h"
+#include "worker_polls.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -9,6 +9,7 @@
 #include "silent_workers.h"
 #include "task_lifecycle.h"
 #include "worker_choice.h"
+#include "worker_polls.h"
 #include "worker_reports.h"
 
 #include <algorithm>
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -2,7 +2,6 @@
 
 #include "discovery_age.h"
 #include "pace_control.h"
-#include "worker_reports.h"
 
 #include <algorithm>
 #include <limits>
--- /dev/null
+++ b/packages/scheduler/worker_polls.cpp
@@ -0,0 +1,147 @@
+#include "worker_polls.h"
+
+#include "pace_control.h"
+
+#include <algorithm>
+
+namespace crocuswind::scheduler {
+
+namespace {
+
+/// How long a poll waits at a worker with runs for a completion (long polling).
+constexpr std::int64_t pollWaitMs = 1000;
+/// The same for a worker where best-effort tasks may interfere with serving tasks, whose latency
+/// has to be read more often.
+constexpr std::int64_t frequentPollWaitMs = 400;
+
+/// The interference model learns enough from this many reports a second of such workers. On a
+/// larger fleet each of them is polled less often, unless its serving tasks are near their targets.
+constexpr std::int64_t maxLearningReportsPerSecond = 1000;
+
+/// Poll interval of idle workers, to update their clock reading and detect restarts.
+constexpr duration idlePollInterval = 10s;
+
+/// Poll interval of workers with completions that are not durable yet. The commit of the
+/// completions triggers an earlier poll. During an outage of the store these polls renew the leases
+/// of the other runs there.
+constexpr duration unsettledPollInterval = 2s;
+/// A worker that does not answer is polled again after this time.
+constexpr duration failedPollInterval = 250ms;
+/// Poll interval of a replaced worker. Service discovery removes it within a few seconds.
+constexpr duration replacedPollInterval = 1s;
+
+/// Interval at which a worker without runs that service discovery does not list is looked at.
+constexpr duration goneWorkerInterval = 250ms;
+
+constexpr duration pollScanInterval = 5ms;
+
+/// No lease is granted and no task started with less than this of the owner's authority left.
+constexpr duration minLease = 1s;
+
+bool needsPolling(const worker_record &worker)
+{
+    return !worker.runs.empty() || worker.completions.settledUpTo() > worker.ackedCompletions
+        || !worker.hasReported || worker.hasStrayRuns;
+}
+
+// Returns how long a poll of the worker may wait for a completion, in milliseconds.
+std::int64_t pollWaitOf(const scheduler_state &state, const worker_record &worker)
+{
+    if (!mayInterfere(worker))
+        return pollWaitMs;
+    if (isNearLatencyTarget(worker))
+        return frequentPollWaitMs;
+    const std::int64_t sharedMs
+        = std::int64_t(state.workers.size()) * 1000 / maxLearningReportsPerSecond;
+    return std::clamp(sharedMs, frequentPollWaitMs, pollWaitMs);
+}
+
+void sendPoll(scheduler_state &state, worker_record &worker)
+{
+    poll_command command;
+    command.worker = worker.info.id;
+    command.address = worker.info.address;
+    command.number = ++worker.lastPoll;
+    command.epoch = state.epoch;
+    // Completion numbers are valid for one incarnation only: if the worker has restarted, an old
+    // number would acknowledge completions of the new incarnation.
+    const bool isSameIncarnationLikely = worker.hasReported && worker.failedPolls == 0
+        && state.now - worker.lastReportAt < sameIncarnationLimit;
+    command.ackedCompletions = isSameIncarnationLikely ? worker.completions.settledUpTo() : 0;
+    const auto lease = leaseEnd(state);
+    // A worker that does not answer may still receive the poll. If each poll renewed its lease, the
+    // lease could never be known to have lapsed.
+    const bool renewsLease = lease && worker.lease.isClockKnown() && !worker.runs.empty()
+        && worker.failedPolls == 0 && !worker.isStoredAsSilent;
+    if (renewsLease)
+        command.leaseUntilMs = worker.lease.grantUntil(*lease, state.now);
+    const bool mayWait = isSameIncarnationLikely && !worker.runs.empty()
+        && !worker.completions.hasUnsettled() && !worker.isStoredAsSilent;
+    if (mayWait)
+        command.waitMs = pollWaitOf(state, worker);
+    worker.isPollInFlight = true;
+    ++state.counters.polls;
+    state.ports.poll(command);
+}
+
+} // namespace
+
+std::optional<instant> leaseEnd(const scheduler_state &state)
+{
+    if (state.authorityUntil < state.now + minLease)
+        return std::nullopt;
+    return std::min(state.now + state.settings.workerLease, state.authorityUntil);
+}
+
+void pollWorkers(scheduler_state &state)
+{
+    if (state.now < state.nextPollScanAt)
+        return;
+    while (!state.pollQueue.empty() && state.pollQueue.top().first <= state.now) {
+        const auto [due, id] = state.pollQueue.top();
+        state.pollQueue.pop();
+        worker_record *worker = state.findWorker(id);
+        // The result of a poll in flight schedules the next one.
+        if (worker == nullptr || worker->nextPollAt != due || worker->isPollInFlight)
+            continue;
+        if (worker->isListed || !worker->runs.empty() || !worker->hasReported)
+            sendPoll(state, *worker);
+        else
+            state.schedulePoll(*worker, state.now + goneWorkerInterval);
+    }
+    const instant next
+        = state.pollQueue.empty() ? state.now + idlePollInterval : state.pollQueue.top().first;
+    // With many workers a poll is due at almost any time. The minimum interval between scans
+    // handles several polls in one scan.
+    state.nextPollScanAt = std::max(next, state.now + pollScanInterval);
+}
+
+instant nextWorkerWake(const scheduler_state &state)
+{
+    return std::min(state.nextReviewAt, state.nextPollScanAt);
+}
+
+void scheduleNextPoll(scheduler_state &state, worker_record &worker)
+{
+    if (worker.completions.hasUnsettled())
+        state.schedulePoll(worker, state.now + unsettledPollInterval);
+    else if (worker.isStoredAsSilent)
+        state.schedulePoll(worker, state.now + failedPollInterval);
+    else if (needsPolling(worker))
+        state.schedulePoll(worker, state.now + pollPause);
+    else
+        state.schedulePoll(worker, state.now + idlePollInterval);
+}
+
+void scheduleFailedPoll(scheduler_state &state, worker_record &worker)
+{
+    state.schedulePoll(worker,
+                       state.now + (worker.isListed ? failedPollInterval : 4 * failedPollInterval));
+}
+
+void scheduleReplacedPoll(scheduler_state &state, worker_record &worker)
+{
+    state.schedulePoll(worker, state.now + replacedPollInterval);
+}
+
+} // namespace crocuswind::scheduler
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -5,6 +5,7 @@
 #include "run_binding.h"
 #include "silent_workers.h"
 #include "task_lifecycle.h"
+#include "worker_polls.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -14,95 +15,16 @@
 
 namespace {
 
-/// How long a poll waits at a worker with runs for a completion (long polling).
-constexpr std::int64_t pollWaitMs = 1000;
-/// The same for a worker where best-effort tasks may interfere with serving tasks, whose latency
-/// has to be read more often.
-constexpr std::int64_t frequentPollWaitMs = 400;
-
-/// The interference model learns enough from this many reports a second of such workers. On a
-/// larger fleet each of them is polled less often, unless its serving tasks are near their targets.
-constexpr std::int64_t maxLearningReportsPerSecond = 1000;
-
-/// Pause between two polls of a worker, so that completions in close succession share one poll and
-/// one commit.
-constexpr duration pollPause = 40ms;
-/// Poll interval of idle workers, to update their clock reading and detect restarts.
-constexpr duration idlePollInterval = 10s;
-
-/// Poll interval of workers with completions that are not durable yet. The commit of the
-/// completions triggers an earlier poll. During an outage of the store these polls renew the leases
-/// of the other runs there.
-constexpr duration unsettledPollInterval = 2s;
-/// A worker that does not answer is polled again after this time.
-constexpr duration failedPollInterval = 250ms;
 /// Runs are given up only after this many consecutive polls without an answer. For a worker that is
 /// stored as silent, one is enough: earlier ones have failed before.
 constexpr int minFailedPolls = 2;
 constexpr int minFailedPollsOfSilentWorker = 1;
-/// Poll interval of a replaced worker. Service discovery removes it within a few seconds.
-constexpr duration replacedPollInterval = 1s;
-
-/// Interval at which a worker without runs that service discovery does not list is looked at.
-constexpr duration goneWorkerInterval = 250ms;
-
-constexpr duration pollScanInterval = 5ms;
-
 /// Interval of the check for unanswered stop commands and lapsed leases.
 constexpr duration reviewInterval = 100ms;
 
-/// No lease is granted and no task started with less than this of the owner's authority left.
-constexpr duration minLease = 1s;
-
 /// After a refused or failed start, no task is started on the worker for this time.
 constexpr duration refusedStartBackoff = 300ms;
 
-bool needsPolling(const worker_record &worker)
-{
-    return !worker.runs.empty() || worker.completions.settledUpTo() > worker.ackedCompletions
-        || !worker.hasReported || worker.hasStrayRuns;
-}
-
-// Returns how long a poll of the worker may wait for a completion, in milliseconds.
-std::int64_t pollWaitOf(const scheduler_state &state, const worker_record &worker)
-{
-    if (!mayInterfere(worker))
-        return pollWaitMs;
-    if (isNearLatencyTarget(worker))
-        return frequentPollWaitMs;
-    const std::int64_t sharedMs
-        = std::int64_t(state.workers.size()) * 1000 / maxLearningReportsPerSecond;
-    return std::clamp(sharedMs, frequentPollWaitMs, pollWaitMs);
-}
-
-void sendPoll(scheduler_state &state, worker_record &worker)
-{
-    poll_command command;
-    command.worker = worker.info.id;
-    command.address = worker.info.address;
-    command.number = ++worker.lastPoll;
-    command.epoch = state.epoch;
-    // Completion numbers are valid for one incarnation only: if the worker has restarted, an old
-    // number would acknowledge completions of the new incarnation.
-    const bool isSameIncarnationLikely = worker.hasReported && worker.failedPolls == 0
-        && state.now - worker.lastReportAt < sameIncarnationLimit;
-    command.ackedCompletions = isSameIncarnationLikely ? worker.completions.settledUpTo() : 0;
-    const auto lease = leaseEnd(state);
-    // A worker that does not answer may still receive the poll. If each poll renewed its lease, the
-    // lease could never be known to have lapsed.
-    const bool renewsLease = lease && worker.lease.isClockKnown() && !worker.runs.empty()
-        && worker.failedPolls == 0 && !worker.isStoredAsSilent;
-    if (renewsLease)
-        command.leaseUntilMs = worker.lease.grantUntil(*lease, state.now);
-    const bool mayWait = isSameIncarnationLikely && !worker.runs.empty()
-        && !worker.completions.hasUnsettled() && !worker.isStoredAsSilent;
-    if (mayWait)
-        command.waitMs = pollWaitOf(state, worker);
-    worker.isPollInFlight = true;
-    ++state.counters.polls;
-    state.ports.poll(command);
-}
-
 void adoptRun(scheduler_state &state, worker_record &worker, const running_report &row,
               task_state &task)
 {
@@ -245,18 +167,6 @@
         markReported(state, worker.info.id);
 }
 
-void scheduleNextPoll(scheduler_state &state, worker_record &worker)
-{
-    if (worker.completions.hasUnsettled())
-        state.schedulePoll(worker, state.now + unsettledPollInterval);
-    else if (worker.isStoredAsSilent)
-        state.schedulePoll(worker, state.now + failedPollInterval);
-    else if (needsPolling(worker))
-        state.schedulePoll(worker, state.now + pollPause);
-    else
-        state.schedulePoll(worker, state.now + idlePollInterval);
-}
-
 // Handles an answer of another incarnation at the worker's address: the known incarnation is gone,
 // and so are its runs.
 void replaceWorker(scheduler_state &state, worker_record &worker)
@@ -267,13 +177,7 @@
     handleLostRuns(state, worker, "worker_replaced");
     worker.hasReported = false;
     markReported(state, worker.info.id);
-    state.schedulePoll(worker, state.now + replacedPollInterval);
-}
-
-void scheduleFailedPoll(scheduler_state &state, worker_record &worker)
-{
-    state.schedulePoll(worker,
-                       state.now + (worker.isListed ? failedPollInterval : 4 * failedPollInterval));
+    scheduleReplacedPoll(state, worker);
 }
 
 // Handles a start that was certainly not carried out.
@@ -340,13 +244,6 @@
 
 } // namespace
 
-std::optional<instant> leaseEnd(const scheduler_state &state)
-{
-    if (state.authorityUntil < state.now + minLease)
-        return std::nullopt;
-    return std::min(state.now + state.settings.workerLease, state.authorityUntil);
-}
-
 void restartWorker(scheduler_state &state, worker_record &worker,
                    std::int64_t incarnationStartUnixMs)
 {
@@ -367,34 +264,6 @@
     state.schedulePoll(worker, state.now);
 }
 
-void pollWorkers(scheduler_state &state)
-{
-    if (state.now < state.nextPollScanAt)
-        return;
-    while (!state.pollQueue.empty() && state.pollQueue.top().first <= state.now) {
-        const auto [due, id] = state.pollQueue.top();
-        state.pollQueue.pop();
-        worker_record *worker = state.findWorker(id);
-        // The result of a poll in flight schedules the next one.
-        if (worker == nullptr || worker->nextPollAt != due || worker->isPollInFlight)
-            continue;
-        if (worker->isListed || !worker->runs.empty() || !worker->hasReported)
-            sendPoll(state, *worker);
-        else
-            state.schedulePoll(*worker, state.now + goneWorkerInterval);
-    }
-    const instant next
-        = state.pollQueue.empty() ? state.now + idlePollInterval : state.pollQueue.top().first;
-    // With many workers a poll is due at almost any time. The minimum interval between scans
-    // handles several polls in one scan.
-    state.nextPollScanAt = std::max(next, state.now + pollScanInterval);
-}
-
-instant nextWorkerWake(const scheduler_state &state)
-{
-    return std::min(state.nextReviewAt, state.nextPollScanAt);
-}
-
 void reviewWorkers(scheduler_state &state)
 {
     if (state.now < state.nextReviewAt)
--- a/packages/scheduler/worker_reports.h
+++ b/packages/scheduler/worker_reports.h
@@ -1,5 +1,5 @@
-/// Maintains the owner's view of the workers: sends polls, and handles reports, command results and
-/// lapsed leases. Private to the package.
+/// Maintains the owner's view of the workers: handles reports, command results and lapsed leases.
+/// Private to the package.
 #ifndef CROCUSWIND_SCHEDULER_WORKER_REPORTS_H
 #define CROCUSWIND_SCHEDULER_WORKER_REPORTS_H
 
@@ -7,12 +7,6 @@
 
 namespace crocuswind::scheduler {
 
-/// Polls the workers that are due for a poll.
-void pollWorkers(scheduler_state &state);
-
-/// Returns when pollWorkers() or reviewWorkers() is due next.
-instant nextWorkerWake(const scheduler_state &state);
-
 /// Gives up the runs on unreachable workers whose lease has lapsed, and sends unanswered stop
 /// commands again. Has the list of workers stored if workers have fallen silent or answer again.
 void reviewWorkers(scheduler_state &state);
@@ -29,10 +23,6 @@
 void restartWorker(scheduler_state &state, worker_record &worker,
                    std::int64_t incarnationStartUnixMs);
 
-/// Returns the latest end of a lease that may be granted now, or nothing if too little of this
-/// owner's authority is left.
-std::optional<instant> leaseEnd(const scheduler_state &state);
-
 } // namespace crocuswind::scheduler
 
 #endif
