--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -35,8 +35,8 @@
     task_phase phase = task_phase::blocked;
     int lastRun = 0; ///< The highest run number ever used, 0 if none.
     int countedRun = 0; ///< The highest run whose completion has been applied.
-    bool hasBegun
-        = false; ///< A worker has shown, to this owner or an earlier one, that a run began.
+    /// A worker has shown, to this owner or an earlier one, that a run began.
+    bool hasBegun = false;
     std::vector<int> failedRuns; ///< Numbers of failed runs; each counts as one attempt.
     worker_id worker; ///< Worker of the current run; set from `starting` to `stopping`.
     std::string checkpoint; ///< Reference of the last checkpoint; empty if there is none.
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -225,8 +225,8 @@
     bool hasReported = false;
     instant firstReportAt; ///< Time of the first such report.
     worker_lease lease;
-    std::int64_t lastLeaseEpoch
-        = 0; ///< No owner after this epoch, but for this one, granted a lease.
+    /// The last epoch that may have granted the worker a lease, apart from what `lease` knows.
+    std::int64_t lastLeaseEpoch = 0;
     /// The stored list of workers may name the worker as silent. It gets no lease and no task,
     /// because a later owner would not know of them.
     bool isStoredAsSilent = false;
