Log what continuous tasks that do not run wait for

Change: once a second the owner writes one line task_absent for each continuous task without a known run for 3 s or more, 8 tasks at most, with the reason: the worker whose lease or report it waits for, held or paced starts, no room, or its place in the order.

--- /dev/null
+++ b/packages/scheduler/absent_tasks.cpp
@@ -0,0 +1,171 @@
+#include "absent_tasks.h"
+
+#include "discovery_age.h"
+#include "worker_polls.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace crocuswind::scheduler {
+
+namespace {
+
+constexpr duration reportInterval = 1s;
+constexpr duration minAbsence = 3s;
+constexpr int maxLinesPerReport = 8;
+
+std::int64_t toMs(duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+// Describes a worker that has to report, or whose lease has to lapse, before a task may start.
+std::string describeAwaited(const scheduler_state &state, const worker_record &worker)
+{
+    const duration leaseLeft = std::max(worker.lease.lapsesBy() - state.now, duration::zero());
+    return fmt::format("worker={} lease_left_ms={} failed_polls={} stored_as_silent={} "
+                       "exclusive={}",
+                       worker.info.id.value, toMs(leaseLeft), worker.failedPolls,
+                       worker.isStoredAsSilent, state.now < state.exclusiveUntil);
+}
+
+// Returns the worker with the longest lease among those on which the task may be, or null.
+const worker_record *lastAwaitedWorker(scheduler_state &state, const task_name &name)
+{
+    const worker_record *last = nullptr;
+    for (const worker_id &id : state.unreportedWorkers.workersThatMayHave(name)) {
+        const worker_record *worker = state.findWorker(id);
+        const bool isLater = worker != nullptr
+            && (last == nullptr || last->lease.lapsesBy() < worker->lease.lapsesBy());
+        if (isLater)
+            last = worker;
+    }
+    return last;
+}
+
+std::string describeUnlocated(scheduler_state &state, const task_name &name)
+{
+    const worker_record *worker = lastAwaitedWorker(state, name);
+    if (worker == nullptr)
+        return "reason=unlocated";
+    return fmt::format("reason=unreported_worker {} workers_unreported={}",
+                       describeAwaited(state, *worker), state.unreportedWorkers.size());
+}
+
+// Describes the place of the task's step in the dispatch order as of the last pass.
+std::string describeQueued(const scheduler_state &state, const task_name &name)
+{
+    const auto found
+        = std::find_if(state.ready.begin(), state.ready.end(), [&](const ready_step &step) {
+              return step.job->spec.name == name.job && step.occurrence == name.occurrence
+                  && step.step == name.step;
+          });
+    const bool hasNoWorker = found != state.ready.end() && found->hasNoWorker;
+    return fmt::format("reason={} position={} steps={}", hasNoWorker ? "no_worker" : "queued",
+                       found - state.ready.begin(), state.ready.size());
+}
+
+std::string describeWaiting(const scheduler_state &state, const task_name &name)
+{
+    if (state.isHandingOver)
+        return "reason=handing_over";
+    if (!leaseEnd(state))
+        return "reason=no_authority";
+    if (state.areStartsHeld)
+        return fmt::format("reason=starts_held workers_age_ms={}",
+                           toMs(state.now - state.workersAsOf));
+    if (state.startWindow.available(state.startsInFlight) == 0)
+        return fmt::format("reason=start_window in_flight={} window={}", state.startsInFlight,
+                           state.startWindow.size());
+    return describeQueued(state, name);
+}
+
+/// Since when no run of a task is known, and what it waits for.
+struct task_absence
+{
+    instant since;
+    std::string reason;
+};
+
+std::optional<task_absence> absenceOf(scheduler_state &state, const task_name &name,
+                                      const task_state &task)
+{
+    if (task.phase == task_phase::unlocated)
+        return task_absence{task.interruptedAt, describeUnlocated(state, name)};
+    if (task.phase == task_phase::waiting && task.hasBegun)
+        return task_absence{task.interruptedAt, describeWaiting(state, name)};
+    const worker_record *worker = mayHaveRun(task) ? state.findWorker(task.worker) : nullptr;
+    if (worker == nullptr || worker->failedPolls == 0)
+        return std::nullopt;
+    return task_absence{std::max(worker->lastReportAt, task.runSince),
+                        "reason=silent_worker " + describeAwaited(state, *worker)};
+}
+
+class absence_report
+{
+public:
+    explicit absence_report(scheduler_state &state)
+        : m_state(state)
+    { }
+
+    void add(job_record &job)
+    {
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (int step = 0; step < int(occurrence.steps.size()); ++step) {
+                if (!occurrence.isReleased || !job.spec.steps[std::size_t(step)].isContinuous)
+                    continue;
+                const auto &tasks = occurrence.steps[std::size_t(step)];
+                for (int index = 0; index < int(tasks.size()); ++index)
+                    add({job.spec.name, number, step, index}, tasks[std::size_t(index)]);
+            }
+        }
+    }
+
+    /// Returns true once no more lines are written.
+    bool isFull() const { return m_lines == maxLinesPerReport; }
+
+private:
+    void add(const task_name &name, const task_state &task)
+    {
+        if (isFull() || isAtWork(task))
+            return;
+        const auto absence = absenceOf(m_state, name, task);
+        if (!absence || m_state.now - absence->since < minAbsence)
+            return;
+        ++m_lines;
+        m_state.ports.log("task_absent",
+                          fmt::format("job={} task={} absent_ms={} {}", name.job.value,
+                                      toString(name), toMs(m_state.now - absence->since),
+                                      absence->reason));
+    }
+
+    // Most tasks are; this avoids a look at their names.
+    bool isAtWork(const task_state &task) const
+    {
+        if (!mayHaveRun(task))
+            return false;
+        const auto worker = m_state.workers.find(task.worker);
+        return worker != m_state.workers.end() && worker->second.failedPolls == 0;
+    }
+
+    scheduler_state &m_state;
+    int m_lines = 0;
+};
+
+} // namespace
+
+void logAbsentTasks(scheduler_state &state)
+{
+    if (state.now < state.nextAbsenceReportAt)
+        return;
+    state.nextAbsenceReportAt = state.now + reportInterval;
+    absence_report report(state);
+    for (const auto &[name, job] : state.jobs) {
+        if (report.isFull())
+            return;
+        if (!job->isOver())
+            report.add(*job);
+    }
+}
+
+} // namespace crocuswind::scheduler
--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -171,8 +171,12 @@
     {
         m_isUtilisationLow = isUtilisationLow();
         std::int64_t waiting = 0;
-        for (const ordered_step &step : orderSteps(m_state))
-            waiting += step.waiting - startTasks(step);
+        const std::vector<ordered_step> steps = orderSteps(m_state);
+        for (std::size_t i = 0; i < steps.size(); ++i) {
+            const std::int64_t started = startTasks(steps[i]);
+            waiting += steps[i].waiting - started;
+            m_state.ready[i].hasNoWorker = m_starts < m_maxStarts && started < steps[i].waiting;
+        }
         m_state.counters.tasksWaiting = waiting;
         return m_starts == m_maxStarts;
     }
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -1,5 +1,6 @@
 #include "scheduler_core.h"
 
+#include "absent_tasks.h"
 #include "commit_log.h"
 #include "discovery_age.h"
 #include "dispatcher.h"
@@ -428,6 +429,7 @@
     i.state.counters.jobsUncommitted = std::int64_t(i.state.dirtyJobs.size());
     i.state.counters.workersUnreported = std::int64_t(i.state.unreportedWorkers.size());
     dispatch(i.state);
+    logAbsentTasks(i.state);
     i.runFollowUps();
 }
 
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -49,6 +49,7 @@
     job_record *job = nullptr;
     int occurrence = 0;
     int step = 0;
+    bool hasNoWorker = false; ///< The last dispatch pass found no worker for a task of it.
 };
 
 /// The complete state of the owner of the jobs. The components are free functions that operate on
@@ -98,6 +99,7 @@
     instant nextPollScanAt; ///< No worker is due for a poll before this time.
     instant nextReviewAt; ///< Next check for unanswered stops and lapsed leases.
     instant nextPruneAt; ///< Next removal of workers that have left.
+    instant nextAbsenceReportAt; ///< Next report of continuous tasks that do not run.
     /// Stop commands and when each is sent again unless it has been answered. Answered ones may
     /// remain and are skipped.
     std::deque<std::pair<instant, task_name>> stopsToResend;
--- a/packages/scheduler/unreported_workers.cpp
+++ b/packages/scheduler/unreported_workers.cpp
@@ -25,6 +25,16 @@
     });
 }
 
+std::vector<worker_id> unreported_workers::workersThatMayHave(const task_name &task) const
+{
+    std::vector<worker_id> workers;
+    for (const auto &[worker, tasks] : m_workers) {
+        if (!tasks || tasks->count(task) != 0)
+            workers.push_back(worker);
+    }
+    return workers;
+}
+
 const std::set<task_name> *unreported_workers::tasksOn(const worker_id &worker) const
 {
     const auto found = m_workers.find(worker);
--- a/packages/scheduler/unreported_workers.h
+++ b/packages/scheduler/unreported_workers.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace crocuswind::scheduler {
 
@@ -37,6 +38,9 @@
     /// Returns true if the task may be on one of the workers.
     bool mayHave(const task_name &task) const;
 
+    /// Returns the workers on which the task may be.
+    std::vector<worker_id> workersThatMayHave(const task_name &task) const;
+
     /// Returns the tasks that may be on the worker, or null if there is no limit or the worker is
     /// not in the set.
     const std::set<task_name> *tasksOn(const worker_id &worker) const;
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -107,6 +107,7 @@
     bool partitionRefusesConnections = false;
     std::map<call_token, job_reply> replies;
     std::vector<std::string> events; ///< Names of logged events.
+    std::vector<std::string> absences; ///< Fields of the logged events `task_absent`.
 
 private:
     template <class command_type, class executor, class receiver>
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -199,9 +199,11 @@
     , m_world(world)
 { }
 
-inline void fake_host::log(const std::string &event, const std::string &)
+inline void fake_host::log(const std::string &event, const std::string &fields)
 {
     events.push_back(event);
+    if (event == "task_absent")
+        absences.push_back(fields);
 }
 
 inline void fake_host::logDetail(const std::string &event, const std::string &fields)
