Store a worker as silent after one poll that timed out

Cause: an owner took a worker for silent only after two failed polls. A poll that waits at the worker fails up to 1.8 s after the loss, the second one up to 1 s later, so that a worker stayed unnoticed for up to 2.9 s, and the next owner didn't know for how long it had been silent. Change: one failed poll is enough if the last report is older than 1.5 s, which is longer than a poll waits. A poll that fails at once, as by a reset or the loss of a relay, still counts as one of two (IsNotStoredAfterOneFailedPollIfTheWorkerHasJustReported). Measured: scheduler_silent_lease_test, both new cases pass with the change.

--- a/packages/scheduler/silent_workers.cpp
+++ b/packages/scheduler/silent_workers.cpp
@@ -16,6 +16,9 @@
 /// relay fails one poll of each of its workers. One that has not reported yet is silent after its
 /// first failed poll.
 constexpr int failedPollsOfSilentWorker = 2;
+/// It is also silent after one failed poll if its last report is older than this, which is longer
+/// than a poll waits at the worker.
+constexpr duration longestReportAge = 1500ms;
 
 silent_lease silentLeaseOf(const scheduler_state &state, const worker_record &worker)
 {
@@ -44,7 +47,8 @@
 {
     if (!worker.hasReported && state.unreportedWorkers.contains(worker.info.id))
         return worker.failedPolls > 0 || worker.isStoredAsSilent;
-    return worker.failedPolls >= failedPollsOfSilentWorker;
+    return worker.failedPolls >= failedPollsOfSilentWorker
+        || (worker.failedPolls > 0 && state.now - worker.lastReportAt >= longestReportAge);
 }
 
 void reviewSilentWorkers(scheduler_state &state)
--- a/test/failure/scheduler_silent_lease_test.cpp
+++ b/test/failure/scheduler_silent_lease_test.cpp
@@ -181,6 +181,26 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// A poll that waits at a lost worker fails late, so one failed poll has to be enough.
+TEST_F(silent_lease_test, IsStoredTwoSecondsAfterTheLoss)
+{
+    loseWorker();
+    runUntil(2s);
+    EXPECT_NE(world.store.at("cw/workers").back(), '\n');
+}
+
+// A poll fails at once when its connection is reset.
+TEST_F(silent_lease_test, IsNotStoredAfterOneFailedPollIfTheWorkerHasJustReported)
+{
+    fake_worker &worker = firstBusyWorker();
+    first.unreachableWorkers = {worker.info.id};
+    first.partitionRefusesConnections = true;
+    world.run(100ms);
+    first.unreachableWorkers.clear();
+    world.run(200ms);
+    EXPECT_EQ(world.store.at("cw/workers").back(), '\n');
+}
+
 // Random partitions between hosts and workers, crashes of workers, outages of the store, and
 // changes of the owner. No task may run twice at the same time.
 TEST(SilentLease, RandomFaultsDuplicateNoRun)
