Know the age of a predecessor's last confirmation in two more cases

Cause: (a) the watch may show a new owner its own first confirmation before the answer to its acquisition arrives; it forgot the last one of its predecessor then. (b) A killed host that is back before its key has expired finds the last confirmation in the store, takes the time of its own start for its age, and may win the election. Change: (a) the last confirmation of the owner before is kept too. (b) A host that didn't see the last confirmation appear stands 150 ms later, less than a small host does; it is elected all the same if there is no other.

--- a/packages/scheduler/confirmation_watch.h
+++ b/packages/scheduler/confirmation_watch.h
@@ -45,18 +45,30 @@
     /// This host has replaced an owner, whose last confirmation was \p last.
     void onReplaced(instant now, const owner_confirmation &last);
 
-    /// Returns the last confirmation that this host has seen.
-    const owner_confirmation &lastSeen() const { return m_seen; }
+    /// Returns the last confirmation that this host has seen of owners up to \p epoch.
+    owner_confirmation lastSeen(std::int64_t epoch) const;
+
+    /// Returns true if this host saw the last confirmation appear. Of one that it found when it
+    /// began to watch it does not know the age.
+    bool isAgeKnown() const { return m_seen.confirmation.epoch == 0 || m_isAgeKnown; }
 
     /// Returns until when the former owners could extend leases.
     const earlier_authority &formerAuthority() const { return m_formerAuthority; }
 
 private:
+    struct sight
+    {
+        owner_confirmation confirmation;
+        instant at;
+    };
+
     duration limitOf(std::int64_t epoch) const;
+    const sight &sightOf(std::int64_t epoch) const;
 
     duration m_authorityLimit;
-    owner_confirmation m_seen;
-    instant m_seenAt;
+    sight m_seen;
+    sight m_seenOfFormerOwner; ///< The last one of an earlier epoch than that of `m_seen`.
+    bool m_isAgeKnown = false;
     earlier_authority m_formerAuthority;
 };
 
--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -18,6 +18,8 @@
 /// effect.
 constexpr duration commitLimit = 700ms;
 constexpr duration retryInterval = 150ms;
+/// Longer than the random part of the delay before a candidacy.
+constexpr duration unknownAgeDelay = 150ms;
 
 const store_entry *findEntry(const store_reply &reply, const std::string &key)
 {
@@ -69,11 +71,19 @@
             return;
         }
         if (!candidateAt)
-            candidateAt = now + settings.candidacyDelay;
+            candidateAt = now + candidacyDelay();
         if (*candidateAt <= now)
             startCandidacy();
     }
 
+    // A host that knows the age of the last confirmation can bound the leases of the former owner
+    // more closely.
+    duration candidacyDelay() const
+    {
+        return settings.candidacyDelay
+            + (confirmations.isAgeKnown() ? duration::zero() : unknownAgeDelay);
+    }
+
     void startCandidacy()
     {
         candidateAt.reset();
@@ -109,7 +119,7 @@
             return;
         currentStage = stage::follower;
         lease = 0;
-        candidateAt = now + retryInterval + settings.candidacyDelay;
+        candidateAt = now + retryInterval + candidacyDelay();
     }
 
     // Ends a candidacy of a host that may not become the owner any more.
@@ -239,7 +249,7 @@
     void boundFormerOwner()
     {
         const owner_confirmation last{epochRecord.epoch, epochRecord.confirmation};
-        const owner_confirmation seen = confirmations.lastSeen();
+        const owner_confirmation seen = confirmations.lastSeen(last.epoch);
         confirmations.onReplaced(now, last);
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
             confirmations.formerAuthority().endOf(last.epoch) - now);
--- a/test/failure/scheduler_election_test.cpp
+++ b/test/failure/scheduler_election_test.cpp
@@ -527,6 +527,8 @@
         a.becomeOwner();
         b.now = a.now;
         b.readConfirmation();
+        confirm();
+        b.readConfirmation();
     }
 
     // Lets time pass on both hosts, without a word between the first one and the store.
@@ -573,6 +575,63 @@
     EXPECT_EQ(b.election.earlierAuthority().endOf(1), confirmedAt + limit);
 }
 
+// The watch showed the successor's own confirmation before the answer to its acquisition arrived.
+TEST_F(confirmed_owner, IsBoundedByItsLastConfirmationIfItsSuccessorSeesItsOwnFirst)
+{
+    wait(1s);
+    confirm();
+    const instant confirmedAt = b.now;
+    b.readConfirmation();
+    wait(1200ms);
+    store.endLease(store.lastLease);
+    b.election.setEligible(b.now, true);
+    b.readOwnerKey();
+    b.advanceTime(1ms);
+    b.executeFirst();
+    b.executeFirst();
+    const auto [token, acquisition] = b.waiting.front();
+    const store_result answer = store.apply(acquisition);
+    b.readOwnerKey();
+    b.readConfirmation();
+    b.election.onStoreResult(b.now, token, answer);
+    ASSERT_TRUE(b.election.isOwner());
+    EXPECT_EQ(b.election.earlierAuthority().endOf(1), confirmedAt + limit);
+}
+
+// A host that has just started found the last confirmation in the store, but can't tell its age.
+TEST_F(confirmed_owner, IsReplacedByAHostThatSawItsLastConfirmationAppear)
+{
+    wait(1s);
+    confirm();
+    b.readConfirmation();
+    candidate started(store, "c");
+    started.now = b.now;
+    started.readConfirmation();
+    store.endLease(store.lastLease);
+    for (candidate *c : {&started, &b}) {
+        c->election.setEligible(c->now, true);
+        c->readOwnerKey();
+        c->advanceTime(100ms);
+        c->serve();
+    }
+    EXPECT_FALSE(started.election.isOwner());
+    EXPECT_TRUE(b.election.isOwner());
+}
+
+// Without another host, it is elected all the same.
+TEST_F(confirmed_owner, IsReplacedByAHostThatHasJustStartedIfThereIsNoOther)
+{
+    candidate started(store, "c");
+    started.now = a.now;
+    started.readConfirmation();
+    store.endLease(store.lastLease);
+    started.election.setEligible(started.now, true);
+    started.readOwnerKey();
+    started.advanceTime(151ms);
+    started.serve();
+    EXPECT_TRUE(started.election.isOwner());
+}
+
 TEST_F(confirmed_owner, IsBoundedByTheElectionIfItsLastConfirmationWasNotSeen)
 {
     wait(1s);
@@ -597,6 +656,7 @@
 {
     wait(1s);
     const instant sentAt = a.now;
+    const int committedBefore = a.committed;
     commit_batch batch = batchOf("cw/job/1", "x");
     batch.confirmsOwnership = true;
     a.election.commit(a.now, batch);
@@ -604,7 +664,7 @@
     b.readConfirmation();
     a.advanceTime(2s);
     a.serve();
-    ASSERT_EQ(a.committed, 1);
+    ASSERT_EQ(a.committed, committedBefore + 1);
     EXPECT_EQ(a.authorityUntil, sentAt + limit);
     b.now = a.now;
     replaceOwner();
