Tell replies to a former process of a host from its own

Cause: tokens of calls began at 1 in each process, a reply names only the token, and the owner replies to the name of the host. A reply whose token this process didn't issue is dropped and counted: job_router_counters::foreignReplies, crocuswind_replies_foreign_total. The encoding bears 64 bits already and is unchanged.

--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -88,7 +88,7 @@
         , election(electionSettings(settings), *this)
         , loadReport(l, schedulerLog, m, core)
         , router(
-              l,
+              l, random,
               [this](const host_id &owner, const job_call &call) { return sendCall(owner, call); })
         , links(l, linkSettings(settings), hello, random,
                 {[this](const host_id &peer) { onLinkUp(peer); },
@@ -455,6 +455,8 @@
     job_router router;
     peer_links links;
     std::unique_ptr<prefix_mirror> ownerMirror;
+    /// The hosts and their tokens of calls that the core is to answer, by the token that the core
+    /// was given. Tokens of the core stay within this process.
     std::map<call_token, std::pair<host_id, call_token>> callOrigins;
     call_token lastToken = 0;
     instant authorityUntil;
@@ -591,6 +593,7 @@
         {"crocuswind_calls_total", i.router.counters().calls},
         {"crocuswind_calls_repeated_total", i.router.counters().resends},
         {"crocuswind_calls_unanswered_total", i.router.counters().unanswered},
+        {"crocuswind_replies_foreign_total", i.router.counters().foreignReplies},
     };
     for (const auto &[name, total] : totals)
         i.metrics.setTotal(name, {}, double(total));
--- a/packages/jobs/job_router.cpp
+++ b/packages/jobs/job_router.cpp
@@ -36,10 +36,11 @@
 
 } // namespace
 
-job_router::job_router(event_loop &loop, job_call_sender sender)
+job_router::job_router(event_loop &loop, random_source &random, job_call_sender sender)
     : m_loop(loop)
     , m_sender(std::move(sender))
     , m_unreachableSince(loop.now())
+    , m_tokens(random)
 {
     scheduleRefusals();
 }
@@ -56,7 +57,7 @@
 void job_router::call(job_call call, instant deadline, done_callback done)
 {
     ++m_counters.calls;
-    const call_token token = ++m_lastToken;
+    const call_token token = m_tokens.next();
     call.token = token;
     pending_call &pending = m_pending[token];
     pending.call = std::move(call);
@@ -168,6 +169,10 @@
 
 void job_router::onReply(const host_id &from, const job_reply &reply)
 {
+    if (!m_tokens.isIssued(reply.token)) {
+        ++m_counters.foreignReplies;
+        return;
+    }
     const auto found = m_pending.find(reply.token);
     if (found == m_pending.end())
         return;
--- a/packages/jobs/job_router.h
+++ b/packages/jobs/job_router.h
@@ -2,7 +2,9 @@
 #ifndef CROCUSWIND_JOBS_JOB_ROUTER_H
 #define CROCUSWIND_JOBS_JOB_ROUTER_H
 
+#include "base/base.h"
 #include "io/io.h"
+#include "life_tokens.h"
 #include "scheduler/scheduler.h"
 
 #include <functional>
@@ -22,6 +24,7 @@
     std::int64_t resends = 0; ///< Calls sent again after the owner changed or the link broke.
     std::int64_t unanswered = 0; ///< Mutating calls whose outcome is unknown at the deadline.
     std::int64_t refusedWithoutOwner = 0;
+    std::int64_t foreignReplies = 0; ///< Dropped replies to calls of a former process of this host.
 };
 
 /// Keeps each call until it is answered or its deadline passes. Sends the call again when the owner
@@ -32,7 +35,9 @@
 public:
     using done_callback = std::function<void(const scheduler::job_reply &reply)>;
 
-    job_router(event_loop &loop, job_call_sender sender);
+    /// \p random is used during the construction only. Processes of a host must get different
+    /// numbers from it, so that a reply to a former one is recognized.
+    job_router(event_loop &loop, random_source &random, job_call_sender sender);
     ~job_router();
     job_router(const job_router &) = delete;
     job_router &operator=(const job_router &) = delete;
@@ -48,7 +53,8 @@
     void onHostReachable(const host_id &host);
     void onHostUnreachable(const host_id &host);
 
-    /// Handles the reply of the host \p from to a call that was sent to it.
+    /// Handles the reply of the host \p from to a call that was sent to it. A reply to a call of a
+    /// former process of this host is dropped and counted.
     void onReply(const host_id &from, const scheduler::job_reply &reply);
 
     /// Returns since when no owner has been reachable, or nothing if one is.
@@ -82,7 +88,7 @@
     job_call_sender m_sender;
     std::optional<host_id> m_owner;
     std::optional<instant> m_unreachableSince;
-    scheduler::call_token m_lastToken = 0;
+    life_tokens m_tokens;
     std::map<scheduler::call_token, pending_call> m_pending;
     job_router_counters m_counters;
     timer_id m_refusalTimer = 0;
--- a/packages/scheduler/job_calls.h
+++ b/packages/scheduler/job_calls.h
@@ -10,7 +10,7 @@
 
 namespace crocuswind::scheduler {
 
-/// Identifies a pending call of one entry host until it is answered.
+/// Identifies a call of one process of an entry host. All values of 64 bits are valid.
 using call_token = std::uint64_t;
 
 /// The kind of a call.
--- a/test/failure/job_router_test.cpp
+++ b/test/failure/job_router_test.cpp
@@ -1,8 +1,10 @@
-// Guards against replies of a former owner that contradict what the current owner does with a call.
+// Guards against replies of a former owner that contradict what the current owner does with a call,
+// and against replies to a former process that end a call of the present one.
 
 #include "jobs/job_router.h"
 
 #include <gtest/gtest.h>
+#include <limits>
 #include <optional>
 #include <string>
 #include <utility>
@@ -20,7 +22,7 @@
 struct repeated_call : testing::Test
 {
     repeated_call()
-        : router(loop, [this](const host_id &to, const job_call &call) {
+        : router(loop, random, [this](const host_id &to, const job_call &call) {
             sent.emplace_back(to, call.token);
             return true;
         })
@@ -50,13 +52,127 @@
     const host_id formerOwner{"host-1"};
     const host_id currentOwner{"host-2"};
     event_loop loop;
+    seeded_random random{1};
     std::vector<std::pair<host_id, scheduler::call_token>> sent;
     std::optional<job_reply> answer;
     job_router router;
 };
 
+/// Returns the same number each time, so that a test chooses the tokens of a process.
+class fixed_random final : public random_source
+{
+public:
+    explicit fixed_random(std::uint64_t number)
+        : m_number(number)
+    { }
+    std::uint64_t next() override { return m_number; }
+
+private:
+    std::uint64_t m_number;
+};
+
+/// A process of a host. Its calls reach the owner as frames.
+struct host_process
+{
+    host_process(event_loop &l, std::uint64_t number)
+        : loop(l)
+        , random(number)
+        , router(l, random, [this](const host_id &, const job_call &call) {
+            frames.push_back(scheduler::encodeCall(call));
+            return true;
+        })
+    {
+        router.setOwner(owner);
+        router.onHostReachable(owner);
+    }
+
+    void call(job_call_kind kind)
+    {
+        job_call call;
+        call.kind = kind;
+        router.call(call, loop.now() + 60s, [this](const job_reply &r) { answers.push_back(r); });
+    }
+
+    void receive(const std::string &frame)
+    {
+        const auto reply = scheduler::decodeReply(frame);
+        ASSERT_TRUE(reply.has_value());
+        router.onReply(owner, *reply);
+    }
+
+    const host_id owner{"host-1"};
+    event_loop &loop;
+    fixed_random random;
+    std::vector<std::string> frames;
+    std::vector<job_reply> answers;
+    job_router router;
+};
+
+/// Returns the owner's reply to the call in \p frame.
+std::string replyTo(const std::string &frame, job_outcome outcome)
+{
+    job_reply reply;
+    reply.token = scheduler::decodeCall(frame).value().token;
+    reply.outcome = outcome;
+    return scheduler::encodeReply(reply);
+}
+
+/// What the random source of the former and of the present process of a host returns.
+struct restarted_host : testing::TestWithParam<std::pair<std::uint64_t, std::uint64_t>>
+{
+    event_loop loop;
+};
+
+constexpr std::uint64_t highest = std::numeric_limits<std::uint64_t>::max();
+
+INSTANTIATE_TEST_SUITE_P(Random, restarted_host,
+                         testing::Values(std::pair(8, highest), std::pair(highest, 0x80000000),
+                                         std::pair(highest >> 1, (highest >> 1) + 8),
+                                         std::pair(8, 0)));
+
 } // namespace
 
+// A job was acknowledged to its caller although it was not stored: the commit of another job, which
+// was submitted to the former process of the host, was answered after the restart.
+TEST_P(restarted_host, DropsRepliesToItsFormerProcess)
+{
+    std::vector<std::string> late;
+    {
+        host_process former(loop, GetParam().first);
+        for (int i = 0; i < 4; ++i)
+            former.call(job_call_kind::submit);
+        for (const std::string &frame : former.frames)
+            late.push_back(replyTo(frame, job_outcome::accepted));
+    }
+    ASSERT_EQ(late.size(), 4U);
+    host_process present(loop, GetParam().second);
+    for (int i = 0; i < 4; ++i)
+        present.call(job_call_kind::submit);
+    for (const std::string &frame : late)
+        present.receive(frame);
+    EXPECT_TRUE(present.answers.empty());
+    EXPECT_EQ(present.router.counters().foreignReplies, 4);
+    for (const std::string &frame : present.frames)
+        present.receive(replyTo(frame, job_outcome::refused));
+    ASSERT_EQ(present.answers.size(), 4U);
+    for (const job_reply &answer : present.answers)
+        EXPECT_EQ(answer.outcome, job_outcome::refused);
+}
+
+// A second reply to a call of this process would hide in the count those to a former one.
+TEST_P(restarted_host, CountsNoRepliesToItself)
+{
+    host_process present(loop, GetParam().second);
+    for (int i = 0; i < 4; ++i)
+        present.call(job_call_kind::submit);
+    for (int i = 0; i < 2; ++i) {
+        for (const std::string &frame : present.frames)
+            present.receive(replyTo(frame, job_outcome::accepted));
+    }
+    EXPECT_EQ(present.answers.size(), 4U);
+    EXPECT_EQ(present.router.counters().foreignReplies, 0);
+}
+
 // A former owner that could not commit a job refused it after the call had been sent again to the
 // next owner, which accepted the job. The caller was told that the job never runs, but it ran.
 TEST_F(repeated_call, IgnoresRefusalOfTheFormerOwner)
@@ -97,7 +213,8 @@
 TEST(JobRouter, RefusesWaitingCallsOnceTheGracePeriodIsOver)
 {
     event_loop loop;
-    job_router router(loop, [](const host_id &, const job_call &) { return false; });
+    seeded_random random(1);
+    job_router router(loop, random, [](const host_id &, const job_call &) { return false; });
     std::optional<job_reply> unsent;
     job_call call;
     call.kind = job_call_kind::submit;
@@ -113,7 +230,8 @@
 {
     event_loop loop;
     const host_id owner{"host-1"};
-    job_router router(loop, [](const host_id &, const job_call &) { return true; });
+    seeded_random random(1);
+    job_router router(loop, random, [](const host_id &, const job_call &) { return true; });
     router.setOwner(owner);
     router.onHostReachable(owner);
     std::optional<job_reply> sent;
