Tell relays' results for a former process of the owner's host

Cause: numbers of relayed commands began at 1 in each process, and a relay keeps results by the name of the owner's host. Evidence: relay_path.ARestartedOwnerDropsResultsForItsFormerProcess failed before: `presentOutcomes.empty()` was false, and the start of the present process had the outcome done where not_done was to come. Change: the numbers are life_tokens. Results with a number that this process didn't issue are dropped and counted: crocuswind_results_foreign_total. The encoding bears 64 bits already and is unchanged; a number takes up to 9 bytes. Measured: jobs_relay_test 11 of 11, job_router_test 14 of 14.

--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -76,7 +76,7 @@
         , settings(std::move(hostSettings))
         , callbacks(std::move(c))
         , hello(settings.host)
-        , workers(l, w, settings.milliCores,
+        , workers(l, random, w, settings.milliCores,
                   [this](const host_id &relayHost, const std::string &bytes) {
                       return sendFrame(relayHost, commandsFrameTag, bytes);
                   })
@@ -599,6 +599,7 @@
         i.metrics.setTotal(name, {}, double(total));
     i.metrics.setTotal("crocuswind_commands_relayed_total", {},
                        double(i.workers.relayedCommands()));
+    i.metrics.setTotal("crocuswind_results_foreign_total", {}, double(i.workers.foreignResults()));
     i.metrics.set("crocuswind_relays", {}, double(i.workers.relayCount()));
     i.metrics.set("crocuswind_owner", {}, i.core.isOwner() ? 1 : 0);
     i.metrics.set("crocuswind_jobs_known", {}, double(c.jobsKnown));
--- a/packages/jobs/relayed_worker_link.cpp
+++ b/packages/jobs/relayed_worker_link.cpp
@@ -37,12 +37,14 @@
 
 } // namespace
 
-relayed_worker_link::relayed_worker_link(event_loop &loop, worker_link &direct,
-                                         std::int64_t ownerMilliCores, message_sender send)
+relayed_worker_link::relayed_worker_link(event_loop &loop, random_source &random,
+                                         worker_link &direct, std::int64_t ownerMilliCores,
+                                         message_sender send)
     : m_loop(loop)
     , m_direct(direct)
     , m_send(std::move(send))
     , m_assignment(ownerMilliCores)
+    , m_numbers(random)
 { }
 
 relayed_worker_link::~relayed_worker_link()
@@ -121,8 +123,12 @@
     auto results = decodeResults(bytes);
     if (!results)
         return false;
-    for (relayed_result &result : *results)
-        finish(std::move(result));
+    for (relayed_result &result : *results) {
+        if (m_numbers.isIssued(result.number))
+            finish(std::move(result));
+        else
+            ++m_foreignResults;
+    }
     return true;
 }
 
@@ -140,7 +146,7 @@
     const bool isIdle = m_inFlightOfWorker.count(worker) == 0;
     const command_route route = m_assignment.routeFor(worker, isIdle, m_loop.now());
     std::visit([&](auto &c) { c.epoch = commandToken(c.epoch, route); }, command);
-    const std::uint64_t number = ++m_lastNumber;
+    const std::uint64_t number = m_numbers.next();
     m_inFlight[number] = {worker, route, m_loop.now() + timeout + relayMargin, std::move(done)};
     ++m_inFlightOfWorker[worker];
     if (route.relay.empty()) {
--- a/packages/jobs/relayed_worker_link.h
+++ b/packages/jobs/relayed_worker_link.h
@@ -2,7 +2,9 @@
 #ifndef CROCUSWIND_JOBS_RELAYED_WORKER_LINK_H
 #define CROCUSWIND_JOBS_RELAYED_WORKER_LINK_H
 
+#include "base/base.h"
 #include "io/io.h"
+#include "life_tokens.h"
 #include "worker_link.h"
 
 #include <functional>
@@ -22,8 +24,10 @@
     /// Sends a message to a host. Returns false if it was not sent.
     using message_sender = std::function<bool(const host_id &relay, const std::string &bytes)>;
 
-    relayed_worker_link(event_loop &loop, worker_link &direct, std::int64_t ownerMilliCores,
-                        message_sender send);
+    /// \p random is used during the construction only. Processes of a host must get different
+    /// numbers from it, so that a result for a former one is recognized.
+    relayed_worker_link(event_loop &loop, random_source &random, worker_link &direct,
+                        std::int64_t ownerMilliCores, message_sender send);
     ~relayed_worker_link() override;
 
     void setAddress(const worker_id &worker, const std::string &address) override;
@@ -40,7 +44,8 @@
     void onOffer(const host_id &host, const scheduler::relay_offer &offer);
     /// The link to a host was closed. Commands that it has not answered have an unknown outcome.
     void onHostLost(const host_id &host);
-    /// Handles a message with results. Returns false if it is malformed.
+    /// Handles a message with results. Those of commands of a former process of this host are
+    /// dropped and counted. Returns false if the message is malformed.
     bool onResults(std::string_view bytes);
 
     /// Drops all commands in flight without a result, at the end of an ownership.
@@ -49,6 +54,8 @@
     std::size_t relayCount() const { return m_assignment.relayCount(); }
     /// Returns the number of commands that were given to relays.
     std::int64_t relayedCommands() const { return m_relayedCommands; }
+    /// Returns the number of dropped results of commands of a former process of this host.
+    std::int64_t foreignResults() const { return m_foreignResults; }
 
 private:
     using result_callback = std::function<void(const scheduler::relayed_result &result)>;
@@ -83,8 +90,9 @@
     std::map<worker_id, int> m_inFlightOfWorker;
     std::unordered_map<std::uint64_t, command_in_flight> m_inFlight;
     std::map<host_id, outgoing_batch> m_outgoing;
-    std::uint64_t m_lastNumber = 0;
+    life_tokens m_numbers;
     std::int64_t m_relayedCommands = 0;
+    std::int64_t m_foreignResults = 0;
     timer_id m_expiryTimer = 0;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/test/failure/jobs_relay_test.cpp
+++ b/test/failure/jobs_relay_test.cpp
@@ -53,7 +53,7 @@
 struct relay_path : testing::Test
 {
     relay_path()
-        : owner(loop, direct, 1, [this](const host_id &host, const std::string &bytes) {
+        : owner(loop, random, direct, 1, [this](const host_id &host, const std::string &bytes) {
             return deliver(host, bytes);
         })
     {
@@ -69,7 +69,7 @@
         relays[{name}] = std::make_unique<command_relay>(
             loop, workersOf[name], [this](const host_id &, const std::string &bytes) {
                 if (!areResultsLost)
-                    EXPECT_TRUE(owner.onResults(bytes));
+                    EXPECT_TRUE(receiver->onResults(bytes));
             });
         owner.onOffer({name}, {true, {"dc"}, 500});
     }
@@ -127,10 +127,12 @@
     using run_outcome = std::pair<int, command_outcome>;
 
     event_loop loop;
+    seeded_random random{1};
     fake_workers direct;
     std::map<std::string, fake_workers> workersOf;
     std::map<host_id, std::unique_ptr<command_relay>> relays;
     relayed_worker_link owner;
+    relayed_worker_link *receiver = &owner; ///< Gets the results of the relays.
     std::vector<run_outcome> outcomes;
     std::optional<std::int64_t> lastClock;
     std::vector<std::pair<host_id, std::string>> held;
@@ -296,6 +298,38 @@
     EXPECT_TRUE(outcomes.empty());
 }
 
+// A start that the worker had refused counted as done: the result of another start, which a relay
+// had got from the former process of the owner's host, arrived after the restart.
+TEST_F(relay_path, ARestartedOwnerDropsResultsForItsFormerProcess)
+{
+    start(1);
+    run(50ms);
+    ASSERT_EQ(workersOf["a"].starts.size(), 1U);
+    relays.at({"a"})->onOwnerLost(ownerHost);
+    relayed_worker_link present(
+        loop, random, direct, 1,
+        [this](const host_id &host, const std::string &bytes) { return deliver(host, bytes); });
+    receiver = &present;
+    present.onOffer({"a"}, {true, {"dc"}, 500});
+    worker_info info;
+    info.id = worker;
+    info.address = "10.0.0.1:80";
+    present.onWorker(info);
+    std::vector<command_outcome> presentOutcomes;
+    present.start(startOf(2),
+                  [&](const command_result &r) { presentOutcomes.push_back(r.outcome); });
+    run(50ms);
+    ASSERT_EQ(workersOf["a"].starts.size(), 2U);
+    workersOf["a"].answers[0]({command_outcome::done, 1});
+    run(50ms);
+    EXPECT_TRUE(presentOutcomes.empty());
+    EXPECT_EQ(present.foreignResults(), 1);
+    workersOf["a"].answers[1]({command_outcome::not_done, 1});
+    ASSERT_TRUE(loop.runUntil([&] { return !presentOutcomes.empty(); }, 10s));
+    EXPECT_EQ(presentOutcomes[0], command_outcome::not_done);
+    EXPECT_EQ(present.foreignResults(), 1);
+}
+
 TEST_F(relay_path, MalformedMessagesAreRefused)
 {
     EXPECT_FALSE(relays.at({"a"})->onCommands(ownerHost, "\xff\x00odd"));
