Correct three points of the periodic confirmation

(a) A bound of a traced owner held for all earlier epochs too, and so cut short the 8 s of an owner of an earlier build before it: up to 1.5 s too early in a rolling upgrade. (b) A planned stop of an idle owner waited for a commit that stores nothing while the store was away, up to the 1.5 s after which the host gives up. (c) The first confirmation after a takeover came 0.5 s after the records had been read, so that a slow read left the owner without authority. Evidence: (a) ConfirmationWatch.DoesNotCutShortAnUntracedOwner, by the review's test 6.5 s in place of 8 s; (b) departed_worker.APlannedStopWaitsForNoCommitThatStoresNothing failed before; (c) by reading only. Change: bounds are never earlier than that of an untraced owner that the host knows of; no empty commit while handing over; the first commit after a takeover confirms.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -393,7 +393,9 @@
     const bool isConfirmDue = state.now >= state.nextConfirmAt;
     const bool hasChanges
         = !state.dirtyJobs.empty() || state.isWorkerListDirty || isLeavingRecordDue(state);
-    if (!hasChanges && !isConfirmDue)
+    // An owner that hands over must not wait for a commit that stores nothing.
+    const bool needsEmptyCommit = isConfirmDue && !state.isHandingOver;
+    if (!hasChanges && !needsEmptyCommit)
         return;
     commit_batch batch;
     if (isConfirmDue) {
--- a/packages/scheduler/confirmation_watch.h
+++ b/packages/scheduler/confirmation_watch.h
@@ -62,13 +62,15 @@
         instant at;
     };
 
-    duration limitOf(std::int64_t epoch) const;
+    void limit(std::int64_t epoch, instant end);
     const sight &sightOf(std::int64_t epoch) const;
 
     duration m_authorityLimit;
     sight m_seen;
     sight m_seenOfFormerOwner; ///< The last one of an earlier epoch than that of `m_seen`.
     bool m_isAgeKnown = false;
+    std::int64_t m_watchedEpoch = 0; ///< Of the last owner that this host has seen.
+    instant m_untracedUntil; ///< Until when owners of earlier builds may extend leases.
     earlier_authority m_formerAuthority;
 };
 
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -205,7 +205,7 @@
     state.epoch = epoch;
     state.tookOverAt = now;
     state.nextCommitAt = now;
-    state.nextConfirmAt = now + state.settings.confirmInterval;
+    state.nextConfirmAt = now;
     loadRecords(state, records, unixNowMs, authority);
     for (auto &[id, worker] : state.workers) {
         state.schedulePoll(worker, now);
--- a/test/failure/scheduler_departed_worker_test.cpp
+++ b/test/failure/scheduler_departed_worker_test.cpp
@@ -204,3 +204,15 @@
         EXPECT_EQ(starts, 1) << toString(task);
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
+
+// An idle owner that is stopped while the store is away waited for a commit that only confirms its
+// ownership.
+TEST_F(departed_worker, APlannedStopWaitsForNoCommitThatStoresNothing)
+{
+    world.run(2s);
+    while (!first.core.prepareHandover(world.now))
+        world.run(10ms);
+    world.isStoreDown = true;
+    world.run(2s);
+    EXPECT_TRUE(first.core.prepareHandover(world.now));
+}
--- a/test/failure/scheduler_election_test.cpp
+++ b/test/failure/scheduler_election_test.cpp
@@ -701,6 +701,32 @@
     EXPECT_EQ(b.election.earlierAuthority().endOf(2), b.now + untracedAuthorityLimit);
 }
 
+// An owner of this build followed it, and was replaced at once: the bound of the later owner cut
+// short the longer one of the earlier.
+TEST(ConfirmationWatch, DoesNotCutShortAnUntracedOwner)
+{
+    confirmation_watch watch(election_settings().authorityLimit);
+    const instant start{100s};
+    watch.onReplaced(start, {1, 0});
+    watch.onEpoch(start, 2);
+    watch.onConfirmation(start, {2, 1});
+    watch.onReplaced(start + 1s, {2, 1});
+    watch.onEpoch(start + 1s, 3);
+    EXPECT_EQ(watch.formerAuthority().endOf(1), start + untracedAuthorityLimit);
+}
+
+// The same on a host that only watched.
+TEST(ConfirmationWatch, DoesNotCutShortAnUntracedOwnerThatItWatched)
+{
+    confirmation_watch watch(election_settings().authorityLimit);
+    const instant start{100s};
+    watch.onEpoch(start - 10s, 1);
+    watch.onEpoch(start, 2);
+    watch.onConfirmation(start, {2, 1});
+    watch.onReplaced(start + 1s, {2, 1});
+    EXPECT_EQ(watch.formerAuthority().endOf(1), start + untracedAuthorityLimit);
+}
+
 TEST_F(confirmed_owner, IsNotBoundedByMalformedText)
 {
     wait(1s);
