Keep the policy of a job in its acceptance record

Cause: the service, the limit of attempts, the priority and the objective of a job were kept only in the owner's memory. A new owner took them from the present configuration, and left them unknown for a queue that is not in it.

Change: the acceptance record has the policy as a third field. updatePolicy() chooses: the present policy of the queue, else the last one that this owner has seen, else the stored one. The stored one counts only once the host has read a configuration, so that attempts allowed by the present one are not cut short. Older records are read; older builds ignore the field.

The simulated world calls setQueues() for a new owner only if it has read a configuration, as the program does: an empty list now means that there are no queues.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -1,6 +1,7 @@
 #include "commit_log.h"
 
 #include "job_intake.h"
+#include "job_policy.h"
 #include "record_codec.h"
 #include "silent_workers.h"
 #include "task_lifecycle.h"
@@ -293,10 +294,8 @@
     // A new owner may not have read the configuration yet. Until then no number of failures fails a
     // job.
     job.policy.attemptLimit = queue_policy::unknownAttemptLimit;
-    const auto policy = state.queues.find(job.spec.queue);
-    if (policy != state.queues.end())
-        job.policy = policy->second;
     job.policy.queue = job.spec.queue;
+    updatePolicy(state, job);
     job.criticalPathsMs = computeCriticalPathsMs(job.spec);
     state.unstartedJobs.insert(job.spec.name);
     resumeOccurrences(state, job, unixNowMs);
--- a/packages/scheduler/job_intake.cpp
+++ b/packages/scheduler/job_intake.cpp
@@ -45,6 +45,7 @@
     auto job = std::make_unique<job_record>();
     job->spec = *call.spec;
     job->policy = policy;
+    job->acceptedPolicy = policy;
     job->acceptedAt = state.now;
     job->acceptedUnixMs = state.unixOffsetMs
         + std::chrono::duration_cast<std::chrono::milliseconds>(state.now.time_since_epoch())
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -82,6 +83,8 @@
 {
     job_spec spec;
     queue_policy policy; ///< From the last configuration that contained its queue.
+    /// Under which the job was accepted; absent in records of earlier builds.
+    std::optional<queue_policy> acceptedPolicy;
     std::int64_t acceptedUnixMs = 0;
     instant acceptedAt;
     std::vector<std::int64_t> criticalPathsMs; ///< For each step, see computeCriticalPathsMs().
--- a/packages/scheduler/record_codec.cpp
+++ b/packages/scheduler/record_codec.cpp
@@ -11,6 +11,10 @@
 
 using namespace cbor_values;
 
+// Values of a policy beyond these bounds would overflow the objective of a job.
+constexpr double maxStretch = 1000;
+constexpr std::int64_t maxObjectiveSlackMs = 100'000'000'000;
+
 // Fields are stored as arrays in a fixed order to keep the records small. New fields may be added
 // at the end only.
 json toJson(const step_spec &s)
@@ -71,6 +75,29 @@
     return spec;
 }
 
+// The queue is part of the specification, and jobs of queues that need advice are not accepted.
+json toJson(const queue_policy &policy)
+{
+    return json::array({policy.service.value, policy.attemptLimit, policy.priority, policy.stretch,
+                        policy.objectiveSlackMs});
+}
+
+queue_policy policyFromJson(const json &j, const queue_id &queue)
+{
+    queue_policy policy;
+    policy.queue = queue;
+    read(j.at(0), policy.service.value);
+    read(j.at(1), policy.attemptLimit);
+    read(j.at(2), policy.priority);
+    read(j.at(3), policy.stretch);
+    read(j.at(4), policy.objectiveSlackMs);
+    policy.attemptLimit = std::max(1, policy.attemptLimit);
+    policy.stretch = std::clamp(policy.stretch, 0.0, maxStretch);
+    policy.objectiveSlackMs
+        = std::clamp(policy.objectiveSlackMs, std::int64_t(0), maxObjectiveSlackMs);
+    return policy;
+}
+
 // Returns true if nothing but the success of the task has to be stored.
 bool isPlainSuccess(const task_state &task)
 {
@@ -169,7 +196,10 @@
 
 std::string encodeAcceptance(const job_record &job)
 {
-    return toBytes(json::array({toJson(job.spec), job.acceptedUnixMs}));
+    json fields = json::array({toJson(job.spec), job.acceptedUnixMs});
+    if (job.acceptedPolicy)
+        fields.push_back(toJson(*job.acceptedPolicy));
+    return toBytes(fields);
 }
 
 std::optional<job_record> decodeAcceptance(std::string_view bytes)
@@ -178,6 +208,9 @@
         job_record job;
         job.spec = specFromJson(j.at(0));
         read(j.at(1), job.acceptedUnixMs);
+        // Records of earlier builds have no policy.
+        if (j.size() > 2)
+            job.acceptedPolicy = policyFromJson(j.at(2), job.spec.queue);
         return job;
     });
 }
--- a/packages/scheduler/record_codec.h
+++ b/packages/scheduler/record_codec.h
@@ -11,7 +11,8 @@
 
 namespace crocuswind::scheduler {
 
-/// Encodes the immutable part of a job: its specification and its time of acceptance.
+/// Encodes the immutable part of a job: its specification, its time of acceptance and the policy
+/// under which it was accepted.
 std::string encodeAcceptance(const job_record &job);
 
 /// Decodes the output of encodeAcceptance(). Returns std::nullopt for malformed input.
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -6,6 +6,7 @@
 #include "dispatcher.h"
 #include "evacuation.h"
 #include "job_intake.h"
+#include "job_policy.h"
 #include "scheduler_state.h"
 #include "silent_workers.h"
 #include "task_lifecycle.h"
@@ -268,15 +269,13 @@
 {
     implementation &i = *m_implementation;
     i.setNow(now);
+    i.state.areQueuesKnown = true;
     i.state.queues.clear();
     for (const queue_policy &policy : queues)
         i.state.queues[policy.queue] = policy;
     for (auto &[name, job] : i.state.jobs) {
-        const auto policy = i.state.queues.find(job->spec.queue);
-        if (policy == i.state.queues.end())
-            continue;
         const bool wasUnknown = job->policy.attemptLimit == queue_policy::unknownAttemptLimit;
-        job->policy = policy->second;
+        updatePolicy(i.state, *job);
         if (wasUnknown)
             failIfExhausted(i.state, *job);
     }
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -81,6 +81,7 @@
     instant exclusiveUntil; ///< No other host can own the jobs before this time.
 
     std::map<queue_id, queue_policy> queues;
+    bool areQueuesKnown = false; ///< This host has read a configuration.
     std::unordered_map<job_name, std::unique_ptr<job_record>> jobs;
     /// Superset of the jobs of which no task has started. Other jobs are removed when the waiting
     /// jobs are counted.
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -192,6 +192,7 @@
     bool isStoreDown = false;
     bool isDiscoveryStale = false; ///< Owners get no updates on workers, though the store answers.
     bool isStoreRefusing = false; ///< Commits are refused without effect.
+    /// Empty if a new owner has not read the configuration.
     std::vector<queue_policy> queues;
     std::map<job_name, job_spec> specs;
     std::function<duration(const task_name &)> runTime = [](const task_name &) { return 1s; };
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -470,7 +470,8 @@
     std::vector<stored_record> records;
     for (const auto &[key, value] : store)
         records.push_back({key, value});
-    owner.core.setQueues(now, queues);
+    if (!queues.empty())
+        owner.core.setQueues(now, queues);
     renewOwnership(owner);
     owner.core.takeOver(now, unixMs(), owner.epoch, records, owner.confirmations.formerAuthority());
     for (const auto &[id, worker] : workers) {
--- a/test/fuzz/scheduler_codec_fuzz_test.cpp
+++ b/test/fuzz/scheduler_codec_fuzz_test.cpp
@@ -34,6 +34,21 @@
         rc::gen::set(&job_spec::scheduledOccurrences, rc::gen::inRange(0, 4)));
 }
 
+rc::Gen<queue_policy> anyPolicy(const queue_id &queue)
+{
+    return rc::gen::build<queue_policy>(
+        rc::gen::set(&queue_policy::queue, rc::gen::just(queue)),
+        rc::gen::set(&queue_policy::service,
+                     rc::gen::map(rc::gen::arbitrary<std::string>(),
+                                  [](std::string name) { return service_id{std::move(name)}; })),
+        rc::gen::set(&queue_policy::priority),
+        rc::gen::set(&queue_policy::attemptLimit, rc::gen::inRange(1, 1000)),
+        rc::gen::set(&queue_policy::stretch,
+                     rc::gen::map(rc::gen::inRange(0, 10000), [](int n) { return n / 10.0; })),
+        rc::gen::set(&queue_policy::objectiveSlackMs,
+                     rc::gen::inRange<std::int64_t>(0, 100'000'000'000)));
+}
+
 } // namespace
 
 RC_GTEST_PROP(RecordCodec, AcceptancesRoundTrip, ())
@@ -42,10 +57,13 @@
     job.spec = *anySpec();
     job.spec.name.value = "0123456789abcdef";
     job.acceptedUnixMs = *rc::gen::arbitrary<std::int64_t>();
+    if (*rc::gen::arbitrary<bool>())
+        job.acceptedPolicy = *anyPolicy(job.spec.queue);
     const auto read = decodeAcceptance(encodeAcceptance(job));
     RC_ASSERT(read.has_value());
     RC_ASSERT(read->spec == job.spec);
     RC_ASSERT(read->acceptedUnixMs == job.acceptedUnixMs);
+    RC_ASSERT(read->acceptedPolicy == job.acceptedPolicy);
 }
 
 RC_GTEST_PROP(RecordCodec, ProgressRoundTrips, ())
@@ -119,6 +137,7 @@
     job.spec.scheduledOccurrences = 3;
     job.spec.periodMs = 1000;
     job.acceptedUnixMs = 1700001000000;
+    job.acceptedPolicy = queue_policy();
     job.occurrences[1] = newOccurrence(job.spec, 1, instant());
     job.occurrences[1].steps[0][0].failedRuns = {1, 2};
     seeded_random random(20261205);
