Use a worker only when its entry and its report name the same life

Cause: the report of a new life took the worker out of use and, in the same call, back into it, while room, labels and service were still those of the entry of the former life. Nothing compared which life each of the two describes. Change: a worker is eligible only if its entry and its last report name the same start. If one of them names none, it is used as before. The simulation's entries name the life as its reports do, and the entry of a restarted worker comes 0.75 s after the restart, as on the platform; none of its checks changed. owner_cut_off_with_worker resets a worker's clock by hand; its entry names no life there, as all did before, so that the worker stays in use.

--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -67,12 +67,21 @@
             || state.now - worker.lastReportAt >= sameIncarnationLimit);
 }
 
+// Returns false if the entry of service discovery and the last report name different incarnations.
+// Room, labels and service are known only for the incarnation of the entry.
+bool isEntryOfReportedIncarnation(const worker_record &worker)
+{
+    return worker.info.incarnationStartUnixMs == 0 || worker.incarnationStartUnixMs == 0
+        || worker.info.incarnationStartUnixMs == worker.incarnationStartUnixMs;
+}
+
 bool isEligible(const scheduler_state &state, const worker_record &worker)
 {
     return worker.isListed && worker.isInStoredList && !worker.isStoredAsSilent
-        && !worker.mayHaveLeavingRecord && worker.hasReported && !worker.info.isDraining
-        && worker.failedPolls == 0 && !worker.hasStrayRuns && worker.avoidedUntil <= state.now
-        && worker.lease.isClockKnown() && !mayHaveForgottenEpoch(state, worker);
+        && isEntryOfReportedIncarnation(worker) && !worker.mayHaveLeavingRecord
+        && worker.hasReported && !worker.info.isDraining && worker.failedPolls == 0
+        && !worker.hasStrayRuns && worker.avoidedUntil <= state.now && worker.lease.isClockKnown()
+        && !mayHaveForgottenEpoch(state, worker);
 }
 
 bool hasRequiredLabel(const step_spec &step, const worker_record &worker)
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,8 @@
 constexpr std::int64_t maxLeaseMs = 10000;
 /// A worker lists at most this many completions in one report.
 constexpr std::size_t maxListedCompletions = 500;
+/// Time from a worker's restart until its entry of service discovery names its new life.
+constexpr duration checkInDelay = 750ms;
 /// Time from a stop command until the run has ended.
 constexpr duration stopDuration = 100ms;
 
@@ -42,11 +45,14 @@
     };
 
     worker_info info;
+    /// The entry of its former life, which service discovery still shows after a restart.
+    std::optional<worker_info> formerEntry;
     double clockRate = 1; ///< Rate of its steady clock relative to the owner's.
     instant bootedAt;
     bool isUp = true;
     bool refusesConnections
         = false; ///< While it is down, connections are refused instead of timing out.
+    bool reportsItsLife = true; ///< Its reports name the start of its present life.
     bool isReplaced = false; ///< Another worker listens at its address.
     bool isListed = true; ///< Service discovery lists this worker.
     std::int64_t highestEpoch = 0;
@@ -64,6 +70,12 @@
     /// Returns the reading of the worker's steady clock.
     std::int64_t clockMs(instant now) const;
 
+    /// Returns the start of its present life, which its reports and its entry name.
+    std::int64_t incarnationStartMs() const;
+
+    /// Returns its entry of service discovery.
+    const worker_info &entry() const { return formerEntry ? *formerEntry : info; }
+
     /// Returns the resources that the worker's runs reserve.
     resources usedResources(const std::map<job_name, job_spec> &specs) const;
 };
@@ -159,7 +171,8 @@
     /// Schedules \p function for \p time.
     void at(instant time, std::function<void()> function);
 
-    /// Restarts a worker's process, which loses all its state.
+    /// Restarts a worker's process, which loses all its state. Its reports name its new life at
+    /// once, and its entry of service discovery after `checkInDelay`.
     void restartWorker(fake_worker &worker);
 
     /// Terminates a worker's process and its runs, and removes the worker from service discovery.
@@ -210,6 +223,8 @@
     std::set<task_name> doneAcknowledged; ///< Tasks whose success is acknowledged.
 
 private:
+    /// Lets the owners see the entry of the life of the worker that began at \p bootedAt.
+    void checkIn(fake_worker &worker, instant bootedAt);
     void checkStart(const fake_worker &worker, const task_name &task);
     void endRun(fake_worker &worker, const task_name &task, completion_reason reason);
 
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -36,6 +36,11 @@
     return std::int64_t(double(toMs(now - bootedAt)) * clockRate);
 }
 
+inline std::int64_t fake_worker::incarnationStartMs() const
+{
+    return toMs(bootedAt.time_since_epoch());
+}
+
 inline resources fake_worker::usedResources(const std::map<job_name, job_spec> &specs) const
 {
     resources sum;
@@ -180,7 +185,7 @@
                                worker.completedRuns.end());
     worker_report result;
     result.clockMs = clock;
-    result.incarnationStartUnixMs = toMs(worker.bootedAt.time_since_epoch());
+    result.incarnationStartUnixMs = worker.reportsItsLife ? worker.incarnationStartMs() : 0;
     result.isWhole = worker.completedRuns.size() < maxListedCompletions;
     result.completedRuns.assign(
         worker.completedRuns.begin(),
@@ -439,6 +444,7 @@
     worker.info.labels = {"a", rack};
     worker.info.capacity = capacity;
     worker.bootedAt = now;
+    worker.info.incarnationStartUnixMs = worker.incarnationStartMs();
     return worker;
 }
 
@@ -476,7 +482,7 @@
     owner.core.takeOver(now, unixMs(), owner.epoch, records, owner.confirmations.formerAuthority());
     for (const auto &[id, worker] : workers) {
         if (worker.isListed)
-            owner.core.onWorker(now, worker.info);
+            owner.core.onWorker(now, worker.entry());
     }
     confirmDiscovery(owner);
     owner.scheduleTick();
@@ -552,6 +558,26 @@
     worker.leaseUntilMs = 0;
     worker.bootedAt = now;
     worker.isUp = true;
+    worker.formerEntry = worker.entry();
+    worker.info.incarnationStartUnixMs = worker.incarnationStartMs();
+    at(now + checkInDelay, [this, &worker, bootedAt = now] { checkIn(worker, bootedAt); });
+}
+
+inline void scheduler_world::checkIn(fake_worker &worker, instant bootedAt)
+{
+    if (!worker.isUp || !worker.isListed || worker.bootedAt != bootedAt)
+        return;
+    if (isStoreDown || isDiscoveryStale) {
+        at(now + 200ms, [this, &worker, bootedAt] { checkIn(worker, bootedAt); });
+        return;
+    }
+    worker.formerEntry.reset();
+    for (const auto &owner : hosts) {
+        if (!reachesStore(*owner) || !owner->core.isOwner())
+            continue;
+        owner->core.onWorker(now, worker.info);
+        owner->scheduleTick();
+    }
 }
 
 inline void scheduler_world::removeWorker(fake_worker &worker)
--- a/test/failure/scheduler_silent_lease_test.cpp
+++ b/test/failure/scheduler_silent_lease_test.cpp
@@ -248,6 +248,9 @@
     fake_worker &worker = firstBusyWorker();
     worker.clockRate = 1 - maxClockSlowness;
     worker.bootedAt = world.now;
+    // The entry names no life, so that the worker stays in use although only its clock is reset.
+    worker.info.incarnationStartUnixMs = 0;
+    first.core.onWorker(world.now, worker.info);
     worker.leaseUntilMs = 6000;
     world.run(2s + std::chrono::milliseconds(GetParam()));
     first.isStoreUnreachable = true;
