Describe what an absent task waits for only when it is logged

Cause: the new line task_absent. The report described the reason of each task before it looked whether the task had been absent for 3 s. At a takeover all continuous tasks are unlocated, and for each the ids of all 1,100 workers were copied: a new owner's loop stood for 1.0 to 1.6 s, its key expired, and the next owner did the same.

--- a/packages/scheduler/absent_tasks.cpp
+++ b/packages/scheduler/absent_tasks.cpp
@@ -80,25 +80,29 @@
     return describeQueued(state, name);
 }
 
-/// Since when no run of a task is known, and what it waits for.
-struct task_absence
+// Returns since when no run of the task is known, or nothing if one is, or none ever was.
+std::optional<instant> absentSince(const scheduler_state &state, const task_state &task)
 {
-    instant since;
-    std::string reason;
-};
+    const bool isInterrupted = task.phase == task_phase::unlocated
+        || (task.phase == task_phase::waiting && task.hasBegun);
+    if (isInterrupted)
+        return task.interruptedAt;
+    if (!mayHaveRun(task))
+        return std::nullopt;
+    const auto worker = state.workers.find(task.worker);
+    if (worker == state.workers.end() || worker->second.failedPolls == 0)
+        return std::nullopt;
+    return std::max(worker->second.lastReportAt, task.runSince);
+}
 
-std::optional<task_absence> absenceOf(scheduler_state &state, const task_name &name,
-                                      const task_state &task)
+// Describes what a task without a known run waits for. Looks at all workers in the worst case.
+std::string describeReason(scheduler_state &state, const task_name &name, const task_state &task)
 {
     if (task.phase == task_phase::unlocated)
-        return task_absence{task.interruptedAt, describeUnlocated(state, name)};
-    if (task.phase == task_phase::waiting && task.hasBegun)
-        return task_absence{task.interruptedAt, describeWaiting(state, name)};
-    const worker_record *worker = mayHaveRun(task) ? state.findWorker(task.worker) : nullptr;
-    if (worker == nullptr || worker->failedPolls == 0)
-        return std::nullopt;
-    return task_absence{std::max(worker->lastReportAt, task.runSince),
-                        "reason=silent_worker " + describeAwaited(state, *worker)};
+        return describeUnlocated(state, name);
+    if (task.phase == task_phase::waiting)
+        return describeWaiting(state, name);
+    return "reason=silent_worker " + describeAwaited(state, *state.findWorker(task.worker));
 }
 
 class absence_report
@@ -127,25 +131,16 @@
 private:
     void add(const task_name &name, const task_state &task)
     {
-        if (isFull() || isAtWork(task))
+        if (isFull())
             return;
-        const auto absence = absenceOf(m_state, name, task);
-        if (!absence || m_state.now - absence->since < minAbsence)
+        const auto since = absentSince(m_state, task);
+        if (!since || m_state.now - *since < minAbsence)
             return;
         ++m_lines;
         m_state.ports.log("task_absent",
                           fmt::format("job={} task={} absent_ms={} {}", name.job.value,
-                                      toString(name), toMs(m_state.now - absence->since),
-                                      absence->reason));
-    }
-
-    // Most tasks are; this avoids a look at their names.
-    bool isAtWork(const task_state &task) const
-    {
-        if (!mayHaveRun(task))
-            return false;
-        const auto worker = m_state.workers.find(task.worker);
-        return worker != m_state.workers.end() && worker->second.failedPolls == 0;
+                                      toString(name), toMs(m_state.now - *since),
+                                      describeReason(m_state, name, task)));
     }
 
     scheduler_state &m_state;
