Look for absent tasks only where they can be, and fill commits again

The owner's processor binds there: the report of absent tasks looked at each continuous task once a second, with a search for its worker, and every commit left room for a confirmation that only two a second carry. Change: the report looks at the runs of workers that don't answer, at the steps that wait, and, while workers have not reported to a new owner, at inherited tasks. Commits without a confirmation take 30 entries again.

--- a/packages/scheduler/absent_tasks.cpp
+++ b/packages/scheduler/absent_tasks.cpp
@@ -80,21 +80,6 @@
     return describeQueued(state, name);
 }
 
-// Returns since when no run of the task is known, or nothing if one is, or none ever was.
-std::optional<instant> absentSince(const scheduler_state &state, const task_state &task)
-{
-    const bool isInterrupted = task.phase == task_phase::unlocated
-        || (task.phase == task_phase::waiting && task.hasBegun);
-    if (isInterrupted)
-        return task.interruptedAt;
-    if (!mayHaveRun(task))
-        return std::nullopt;
-    const auto worker = state.workers.find(task.worker);
-    if (worker == state.workers.end() || worker->second.failedPolls == 0)
-        return std::nullopt;
-    return std::max(worker->second.lastReportAt, task.runSince);
-}
-
 // Describes what a task without a known run waits for. Looks at all workers in the worst case.
 std::string describeReason(scheduler_state &state, const task_name &name, const task_state &task)
 {
@@ -105,6 +90,7 @@
     return "reason=silent_worker " + describeAwaited(state, *state.findWorker(task.worker));
 }
 
+// Looks only where absent tasks can be: most tasks run, on workers that answer.
 class absence_report
 {
 public:
@@ -112,34 +98,66 @@
         : m_state(state)
     { }
 
-    void add(job_record &job)
+    // Tasks that may run on workers that do not answer.
+    void addTasksOnSilentWorkers()
     {
-        for (const auto &[number, occurrence] : job.occurrences) {
-            for (int step = 0; step < int(occurrence.steps.size()); ++step) {
-                if (!occurrence.isReleased || !job.spec.steps[std::size_t(step)].isContinuous)
-                    continue;
-                const auto &tasks = occurrence.steps[std::size_t(step)];
-                for (int index = 0; index < int(tasks.size()); ++index)
-                    add({job.spec.name, number, step, index}, tasks[std::size_t(index)]);
+        for (const auto &[id, worker] : m_state.workers) {
+            if (worker.failedPolls == 0)
+                continue;
+            for (const auto &[name, run] : worker.runs) {
+                if (run.step->isContinuous)
+                    add(name, *run.task, std::max(worker.lastReportAt, run.task->runSince));
             }
         }
     }
 
-    /// Returns true once no more lines are written.
-    bool isFull() const { return m_lines == maxLinesPerReport; }
+    void addWaitingTasks()
+    {
+        for (const ready_step &ready : m_state.ready) {
+            const auto occurrence = ready.job->occurrences.find(ready.occurrence);
+            if (occurrence != ready.job->occurrences.end() && !ready.job->isOver())
+                addInterrupted(*ready.job, occurrence->second, ready.step, task_phase::waiting);
+        }
+    }
+
+    void addUnlocatedTasks()
+    {
+        if (m_state.unreportedWorkers.size() == 0)
+            return;
+        for (const auto &[name, job] : m_state.jobs) {
+            for (const auto &[number, occurrence] : job->occurrences) {
+                for (int step = 0; step < int(occurrence.steps.size()); ++step)
+                    addInterrupted(*job, occurrence, step, task_phase::unlocated);
+            }
+        }
+    }
 
 private:
-    void add(const task_name &name, const task_state &task)
+    // Adds the interrupted tasks of a step that are in the phase.
+    void addInterrupted(const job_record &job, const occurrence_state &occurrence, int step,
+                        task_phase phase)
     {
-        if (isFull())
+        if (!job.spec.steps[std::size_t(step)].isContinuous)
             return;
-        const auto since = absentSince(m_state, task);
-        if (!since || m_state.now - *since < minAbsence)
+        const auto &tasks = occurrence.steps[std::size_t(step)];
+        for (int index = 0; index < int(tasks.size()); ++index) {
+            const task_state &task = tasks[std::size_t(index)];
+            const bool isInterrupted = phase == task_phase::unlocated || task.hasBegun;
+            if (task.phase == phase && isInterrupted && isLongAgo(task.interruptedAt))
+                add({job.spec.name, occurrence.number, step, index}, task, task.interruptedAt);
+        }
+    }
+
+    bool isLongAgo(instant since) const { return m_state.now - since >= minAbsence; }
+
+    void add(const task_name &name, const task_state &task, instant since)
+    {
+        if (m_lines == maxLinesPerReport || !isLongAgo(since))
             return;
         ++m_lines;
         m_state.ports.log("task_absent",
                           fmt::format("job={} task={} absent_ms={} {}", name.job.value,
-                                      toString(name), toMs(m_state.now - *since),
+                                      toString(name), toMs(m_state.now - since),
                                       describeReason(m_state, name, task)));
     }
 
@@ -155,12 +173,9 @@
         return;
     state.nextAbsenceReportAt = state.now + reportInterval;
     absence_report report(state);
-    for (const auto &[name, job] : state.jobs) {
-        if (report.isFull())
-            return;
-        if (!job->isOver())
-            report.add(*job);
-    }
+    report.addTasksOnSilentWorkers();
+    report.addWaitingTasks();
+    report.addUnlocatedTasks();
 }
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -15,9 +15,10 @@
 
 namespace {
 
-// The store accepts 32 entries in one transaction; three are used for the proof of ownership and
-// its confirmation.
-constexpr std::size_t maxBatchEntries = 29;
+// The store accepts 32 entries in one transaction; two are used for the proof of ownership, and one
+// more for its confirmation.
+constexpr std::size_t maxBatchEntries = 30;
+constexpr std::size_t maxConfirmingBatchEntries = maxBatchEntries - 1;
 // Limits the leaving records in a batch so that entries for jobs remain.
 constexpr std::size_t maxLeavingRecords = 12;
 
@@ -350,7 +351,8 @@
             [&](const job_name &name) { return hasCaller(state.waiters.at(name)); });
     addJobs(state, batch, maxCallerEntries,
             [&](const job_name &name) { return hasEnded(state, name); });
-    addJobs(state, batch, maxBatchEntries, [](const job_name &) { return true; });
+    const std::size_t limit = batch.confirmsOwnership ? maxConfirmingBatchEntries : maxBatchEntries;
+    addJobs(state, batch, limit, [](const job_name &) { return true; });
 }
 
 } // namespace
