--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <limits>
 #include <sstream>
 #include <utility>
 
@@ -261,18 +262,27 @@
         state.jobs.erase(name);
 }
 
-// Reads a leaving record. It limits the tasks that may be on the worker only if the previous owner
-// wrote it: a record of an older epoch does not include tasks started since.
-void readLeaving(scheduler_state &state, const worker_id &id, const std::string &text)
+// Reads a leaving record. It limits the tasks that may be on the worker unless an owner after its
+// writer may have started tasks: that one may be of a build that keeps no such records.
+void readLeaving(scheduler_state &state, const worker_id &id, const std::string &text,
+                 const earlier_authority &authority)
 {
     state.scheduleLeavingRecord(id, state.now);
     if (worker_record *worker = state.findWorker(id))
         worker->mayHaveLeavingRecord = true;
     std::set<task_name> tasks;
     std::istringstream lines(text);
-    std::string epoch;
-    if (!std::getline(lines, epoch) || epoch != std::to_string(state.epoch - 1))
+    std::int64_t epoch = 0;
+    lines >> epoch;
+    const std::int64_t lastConfirmed = authority.lastConfirmedEpochBefore(state.epoch);
+    const bool isCurrent = epoch >= lastConfirmed && epoch < state.epoch;
+    state.logDetail("leaving_record", [&] {
+        return fmt::format("worker={} epoch={} last_confirmed_epoch={} is_current={}", id.value,
+                           epoch, lastConfirmed, isCurrent);
+    });
+    if (!isCurrent)
         return;
+    lines.ignore(std::numeric_limits<std::streamsize>::max(), '\n');
     for (std::string line; std::getline(lines, line);) {
         const auto task = parseTaskName(line);
         if (!task)
@@ -489,7 +499,8 @@
         if (startsWith(record.key, progressPrefix))
             readProgress(state, record, {record.key.substr(progressPrefix.size())});
         else if (startsWith(record.key, leavingPrefix(state)))
-            readLeaving(state, {record.key.substr(leavingPrefix(state).size())}, record.value);
+            readLeaving(state, {record.key.substr(leavingPrefix(state).size())}, record.value,
+                        authority);
     }
     for (auto &[name, job] : state.jobs)
         resumeJob(state, *job, unixNowMs);
--- a/packages/scheduler/confirmation_watch.cpp
+++ b/packages/scheduler/confirmation_watch.cpp
@@ -4,23 +4,33 @@
 
 namespace crocuswind::scheduler {
 
-void confirmation_watch::onConfirmation(instant now, const owner_confirmation &confirmation)
+namespace {
+
+/// Longer than any authority lasts after the sight of its last confirmation.
+constexpr duration sightRetention = untracedAuthorityLimit + 2s;
+
+} // namespace
+
+void confirmation_watch::onConfirmation(instant now, const published_confirmation &published)
 {
-    const owner_confirmation &last = m_seen.confirmation;
-    const bool isOlder = confirmation.epoch < last.epoch
-        || (confirmation.epoch == last.epoch && confirmation.number <= last.number);
-    if (isOlder)
+    const owner_confirmation &confirmation = published.confirmation;
+    const bool isFirst = m_sights.empty();
+    if (!isFirst && !(m_sights.back().published.confirmation < confirmation))
         return;
-    m_isAgeKnown = last.epoch != 0;
-    if (confirmation.epoch != last.epoch)
-        m_seenOfFormerOwner = m_seen;
-    m_seen = {confirmation, now};
+    m_isAgeKnown = !isFirst;
+    m_sights.push_back({published, now});
+    while (m_sights.size() > 1 && m_sights.front().at < now - sightRetention)
+        m_sights.pop_front();
+    if (published.former)
+        limitBy(now, confirmation.epoch, *published.former);
+    if (published.clockMs != 0)
+        m_formerAuthority.noteClock(confirmation.epoch, published.clockMs, now);
 }
 
-// An owner of which this host has seen no confirmation may be of an earlier build.
+// An owner of which this host has seen nothing may be of an earlier build.
 void confirmation_watch::onEpoch(instant now, std::int64_t epoch)
 {
-    const bool isTraced = sightOf(epoch - 1).confirmation.epoch == epoch - 1;
+    const bool isTraced = lastSeen(epoch - 1).epoch == epoch - 1;
     const bool wasWatched = epoch > 1 && m_watchedEpoch == epoch - 1;
     if (!isTraced && wasWatched)
         m_untracedUntil = now + untracedAuthorityLimit;
@@ -29,16 +39,29 @@
     m_formerAuthority.forgetBefore(now);
 }
 
-void confirmation_watch::onReplaced(instant now, const owner_confirmation &last)
+void confirmation_watch::onAcquired(instant now, std::int64_t epoch, const owner_confirmation &last)
+{
+    limitBy(now, epoch, last);
+    m_formerAuthority.setLastConfirmedEpoch(last.epoch);
+}
+
+// Bounds the authority of all owners before the epoch. None was confirmed after the last
+// confirmation.
+void confirmation_watch::limitBy(instant now, std::int64_t epoch, const owner_confirmation &last)
 {
+    if (last.epoch == 0) {
+        limit(epoch - 1, now);
+        return;
+    }
     if (last.number == 0) {
-        m_untracedUntil = now + untracedAuthorityLimit;
-        limit(last.epoch, m_untracedUntil);
+        m_untracedUntil = std::max(m_untracedUntil, now + untracedAuthorityLimit);
+        limit(epoch - 1, m_untracedUntil);
         return;
     }
-    const sight &seen = sightOf(last.epoch);
-    const instant confirmedBy = seen.confirmation == last ? seen.at : now;
-    limit(last.epoch, confirmedBy + m_authorityLimit);
+    const auto seen = std::find_if(m_sights.begin(), m_sights.end(), [&](const sight &s) {
+        return s.published.confirmation == last;
+    });
+    limit(epoch - 1, (seen == m_sights.end() ? now : seen->at) + m_authorityLimit);
 }
 
 // A bound holds for all owners up to the epoch, so that it must not cut short an untraced one.
@@ -49,13 +72,10 @@
 
 owner_confirmation confirmation_watch::lastSeen(std::int64_t epoch) const
 {
-    return sightOf(epoch).confirmation;
-}
-
-// A new owner may see its own first confirmation before the answer to it arrives.
-const confirmation_watch::sight &confirmation_watch::sightOf(std::int64_t epoch) const
-{
-    return m_seen.confirmation.epoch <= epoch ? m_seen : m_seenOfFormerOwner;
+    const auto found = std::find_if(m_sights.rbegin(), m_sights.rend(), [epoch](const sight &s) {
+        return s.published.confirmation.epoch <= epoch;
+    });
+    return found == m_sights.rend() ? owner_confirmation() : found->published.confirmation;
 }
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -100,16 +100,29 @@
 
     void reportConfirmed()
     {
-        ports.onConfirmed(confirmationSentAt + settings.authorityLimit, exclusiveUntil);
+        const instant authorityUntil
+            = confirmationSentAt ? *confirmationSentAt + settings.authorityLimit : instant();
+        ports.onConfirmed(authorityUntil, exclusiveUntil);
     }
 
     // Makes a transaction that replaces the epoch key confirm the ownership too.
     void addConfirmation(store_transaction &transaction)
     {
         ++pendingEpochRecord.confirmation;
-        const owner_confirmation confirmation{pendingEpochRecord.epoch,
-                                              pendingEpochRecord.confirmation};
-        transaction.puts.push_back({confirmationKey(settings.keyPrefix), toText(confirmation), 0});
+        pendingEpochRecord.lastConfirmed
+            = {pendingEpochRecord.epoch, pendingEpochRecord.confirmation};
+        publish(transaction);
+    }
+
+    // Shows all hosts the last confirmation of this epoch, or its acquisition.
+    void publish(store_transaction &transaction)
+    {
+        published_confirmation published;
+        published.confirmation = {pendingEpochRecord.epoch, pendingEpochRecord.confirmation};
+        published.former = formerConfirmation;
+        published.clockMs
+            = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+        transaction.puts.push_back({confirmationKey(settings.keyPrefix), toText(published), 0});
     }
 
     void handleElectionFailure(const char *step)
@@ -172,17 +185,20 @@
     }
 
     // Writes the owner and epoch keys. An owner whose key was lost keeps its epoch, provided that
-    // no other host has written the epoch key since.
+    // no other host has written the epoch key since, and confirms its ownership. The acquisition
+    // itself does not, so that an owner that is lost before it serves extends no wait.
     void acquire()
     {
         pendingEpochRecord = epochRecord;
-        if (currentStage == stage::owner) {
-            pendingEpochRecord.commit = ++lastCommit;
-        } else {
+        const bool isNewEpoch = currentStage != stage::owner;
+        if (isNewEpoch) {
+            formerConfirmation = epochRecord.lastConfirmed;
             ++pendingEpochRecord.epoch;
             pendingEpochRecord.commit = 0;
             pendingEpochRecord.confirmation = 0;
             lastCommit = 0;
+        } else {
+            pendingEpochRecord.commit = ++lastCommit;
         }
         pendingEpochRecord.host = settings.host.value;
         const owner_info self{settings.host, settings.address, pendingEpochRecord.epoch};
@@ -194,7 +210,10 @@
                                         epochRevision,
                                         {}});
         transaction.puts.push_back({ownerKey(settings.keyPrefix), toText(self), lease});
-        addConfirmation(transaction);
+        if (isNewEpoch)
+            publish(transaction);
+        else
+            addConfirmation(transaction);
         transaction.puts.push_back({epochKey(settings.keyPrefix), toText(pendingEpochRecord), 0});
         send(call_kind::acquire, transaction, callLimit);
     }
@@ -219,7 +238,10 @@
             isStoreAvailable = true;
             nextRenewAt = now + settings.renewInterval;
             extendExclusive(grantSentAt);
-            confirmationSentAt = sentAt;
+            if (wasOwner)
+                confirmationSentAt = sentAt;
+            else
+                confirmationSentAt.reset();
             reportConfirmed();
             if (!wasOwner) {
                 ports.log("elected", fmt::format("epoch={}", epochRecord.epoch));
@@ -245,18 +267,19 @@
         handleElectionFailure("acquire");
     }
 
-    // The compared epoch record names the last confirmation of the former owner.
+    // The compared epoch record names the last confirmation of any former owner.
     void boundFormerOwner()
     {
-        const owner_confirmation last{epochRecord.epoch, epochRecord.confirmation};
+        const owner_confirmation &last = epochRecord.lastConfirmed;
         const owner_confirmation seen = confirmations.lastSeen(last.epoch);
-        confirmations.onReplaced(now, last);
+        confirmations.onAcquired(now, pendingEpochRecord.epoch, last);
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-            confirmations.formerAuthority().endOf(last.epoch) - now);
+            confirmations.formerAuthority().endOf(epochRecord.epoch) - now);
         ports.log("former_owner_bounded",
-                  fmt::format("epoch={} confirmation={} seen_epoch={} seen_confirmation={} "
-                              "authority_left_ms={}",
-                              last.epoch, last.number, seen.epoch, seen.number, left.count()));
+                  fmt::format("epoch={} confirmed_epoch={} confirmation={} seen_epoch={} "
+                              "seen_confirmation={} authority_left_ms={}",
+                              epochRecord.epoch, last.epoch, last.number, seen.epoch, seen.number,
+                              left.count()));
     }
 
     // Ownership.
@@ -386,7 +409,7 @@
         epochRecord = pendingEpochRecord;
         epochRevision = revision;
         if (batch->confirmsOwnership)
-            confirmationSentAt = std::max(confirmationSentAt, *batchSentAt);
+            confirmationSentAt = std::max(confirmationSentAt.value_or(instant()), *batchSentAt);
         batch.reset();
         retryCommitAt.reset();
         reportConfirmed();
@@ -439,7 +462,9 @@
 
     std::optional<commit_batch> batch;
     std::optional<instant> batchSentAt; ///< When the first copy of the batch was sent.
-    instant confirmationSentAt; ///< When the last confirmation that took effect was sent.
+    /// When the last confirmation that took effect was sent; nothing if this epoch has none.
+    std::optional<instant> confirmationSentAt;
+    owner_confirmation formerConfirmation; ///< The last one of any owner before this epoch.
     bool isCommitSent = false;
     std::uint64_t commitToken
         = 0; ///< Token of the last commit; answers to earlier ones are ignored.
--- a/packages/scheduler/owner_election.h
+++ b/packages/scheduler/owner_election.h
@@ -56,7 +56,8 @@
     virtual void submit(std::uint64_t token, const store_operation &operation, instant deadline)
         = 0;
 
-    /// This host now owns the jobs under \p epoch and must read the records to take them over.
+    /// This host now owns the jobs under \p epoch and must read the records to take them over. It
+    /// may grant leases once a commit has confirmed its ownership.
     virtual void onElected(std::int64_t epoch) = 0;
 
     /// This host no longer owns the jobs.
@@ -72,7 +73,8 @@
     virtual void onCommitRefused() = 0;
 
     /// The store has renewed or confirmed the ownership. Leases of workers may extend to
-    /// \p authorityUntil, and no other host can own the jobs before \p exclusiveUntil.
+    /// \p authorityUntil, which is instant() before the first confirmation, and no other host can
+    /// own the jobs before \p exclusiveUntil.
     virtual void onConfirmed(instant authorityUntil, instant exclusiveUntil) = 0;
 
     /// Reports whether the store answers the owner's calls.
@@ -87,7 +89,8 @@
 /// owner. `epoch` is never removed and holds the epoch and the numbers of the last commit and the
 /// last confirmation. Each commit compares and replaces `epoch`, so that a write of a former owner,
 /// or a delayed copy of a write of this host, never takes effect. `owner/confirmed` is replaced by
-/// the commits that confirm the ownership; all hosts watch it.
+/// the acquisition and by the commits that confirm the ownership; all hosts watch it. An owner that
+/// is not confirmed grants no lease, so that its successor need not wait for any.
 class owner_election
 {
 public:
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -91,7 +91,7 @@
 
     /// Sets the end of this host's authority: leases of workers may extend to \p authorityUntil,
     /// and no other host can own the jobs before \p exclusiveUntil. Both increase each time the
-    /// store confirms the ownership.
+    /// store confirms the ownership; before the first time \p authorityUntil is instant().
     void setAuthority(instant now, instant authorityUntil, instant exclusiveUntil);
 
     /// Sets whether the store answers. While it does not, new jobs are refused at once; jobs that
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -75,7 +75,9 @@
     std::int64_t epoch = 0;
     instant tookOverAt; ///< Start of the ownership.
     std::int64_t unixOffsetMs = 0; ///< Unix time minus `now`, in milliseconds.
-    instant authorityUntil; ///< No lease of a worker may extend beyond this time.
+    /// No lease of a worker may extend beyond this time. It is instant() before the store has
+    /// confirmed this ownership.
+    instant authorityUntil;
 
     bool isStoreAvailable = true;
     instant exclusiveUntil; ///< No other host can own the jobs before this time.
--- a/packages/scheduler/worker_polls.cpp
+++ b/packages/scheduler/worker_polls.cpp
@@ -27,6 +27,9 @@
 constexpr duration unsettledPollInterval = 2s;
 /// A worker that does not answer is polled again after this time.
 constexpr duration failedPollInterval = 250ms;
+/// Poll interval while a new owner awaits its first confirmation, without which polls renew no
+/// lease.
+constexpr duration unconfirmedPollInterval = 200ms;
 /// Poll interval of a replaced worker. Service discovery removes it within a few seconds.
 constexpr duration replacedPollInterval = 1s;
 
@@ -38,6 +41,11 @@
 /// No lease is granted and no task started with less than this of the owner's authority left.
 constexpr duration minLease = 1s;
 
+bool isConfirmed(const scheduler_state &state)
+{
+    return state.authorityUntil != instant();
+}
+
 bool needsPolling(const worker_record &worker)
 {
     return !worker.runs.empty() || worker.completions.settledUpTo() > worker.ackedCompletions
@@ -76,7 +84,7 @@
     if (renewsLease)
         command.leaseUntilMs = worker.lease.grantUntil(*lease, state.authorityUntil, state.now);
     const bool mayWait = isSameIncarnationLikely && !worker.runs.empty()
-        && !worker.completions.hasUnsettled() && !worker.isStoredAsSilent;
+        && !worker.completions.hasUnsettled() && !worker.isStoredAsSilent && isConfirmed(state);
     if (mayWait)
         command.waitMs = pollWaitOf(state, worker);
     worker.isPollInFlight = true;
@@ -128,7 +136,8 @@
     else if (worker.isStoredAsSilent)
         state.schedulePoll(worker, state.now + failedPollInterval);
     else if (needsPolling(worker))
-        state.schedulePoll(worker, state.now + pollPause);
+        state.schedulePoll(worker,
+                           state.now + (isConfirmed(state) ? pollPause : unconfirmedPollInterval));
     else
         state.schedulePoll(worker, state.now + idlePollInterval);
 }
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -102,6 +102,9 @@
     /// Schedules the next tick of the core.
     void scheduleTick();
 
+    /// Returns until when it may extend leases of workers.
+    instant authorityUntil() const;
+
     /// Returns when the process reads a message that arrives now: after `readDelay`, or if the
     /// process is stalled, after the timers that fire once it resumes.
     instant nextReadTime() const;
@@ -110,7 +113,9 @@
     scheduler_core core;
     std::int64_t epoch = 0;
     confirmation_watch confirmations; ///< Of all owners, as far as this host has seen them.
-    instant confirmationSentAt; ///< When its last confirmation that took effect was sent.
+    /// When its last confirmation that took effect was sent; nothing if its epoch has none.
+    std::optional<instant> confirmationSentAt;
+    instant exclusiveUntil; ///< No other host can own the jobs before this time.
     bool isDead = false;
     bool isStoreUnreachable = false;
     instant stalledUntil; ///< The process is suspended until then; incoming messages queue up.
@@ -192,6 +197,9 @@
     /// Returns the number of runs on all workers.
     std::size_t runningTasks() const;
 
+    /// Returns the reading of the hosts' clocks.
+    std::int64_t clockMs(instant time) const;
+
     /// Returns the Unix time in milliseconds.
     std::int64_t unixMs() const;
 
@@ -202,6 +210,7 @@
     std::map<std::string, std::string> store;
     std::int64_t storeEpoch = 0;
     owner_confirmation lastConfirmation; ///< In the store.
+    owner_confirmation formerConfirmation; ///< The last one before the epoch of the store.
     bool isStoreDown = false;
     bool isDiscoveryStale = false; ///< Owners get no updates on workers, though the store answers.
     bool isStoreRefusing = false; ///< Commits are refused without effect.
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -205,6 +205,12 @@
     , m_world(world)
 { }
 
+inline instant fake_host::authorityUntil() const
+{
+    return confirmationSentAt ? *confirmationSentAt + election_settings().authorityLimit
+                              : instant();
+}
+
 inline void fake_host::log(const std::string &event, const std::string &fields)
 {
     events.push_back(event);
@@ -461,18 +467,17 @@
 
 inline void scheduler_world::takeOver(fake_host &owner)
 {
-    // An owner that was elected, but never served, confirmed its ownership once.
-    if (lastConfirmation.epoch != storeEpoch)
-        lastConfirmation = {storeEpoch, 1};
-    owner.confirmations.onReplaced(now, lastConfirmation);
     owner.epoch = ++storeEpoch;
-    owner.confirmations.onEpoch(now, storeEpoch);
+    owner.confirmations.onAcquired(now, storeEpoch, lastConfirmation);
+    formerConfirmation = lastConfirmation;
+    owner.confirmationSentAt.reset();
     for (const auto &host : hosts) {
-        if (reachesStore(*host))
-            host->confirmations.onEpoch(now, storeEpoch);
+        if (!reachesStore(*host))
+            continue;
+        host->confirmations.onEpoch(now, storeEpoch);
+        host->confirmations.onConfirmation(now,
+                                           {{storeEpoch, 0}, formerConfirmation, clockMs(now)});
     }
-    lastConfirmation = {storeEpoch, 0};
-    confirmOwnership(owner, now);
     std::vector<stored_record> records;
     for (const auto &[key, value] : store)
         records.push_back({key, value});
@@ -505,20 +510,25 @@
 {
     if (owner.isDead || owner.epoch != storeEpoch)
         return;
-    if (reachesStore(owner) && owner.stalledUntil <= now)
-        owner.core.setAuthority(now, owner.confirmationSentAt + election_settings().authorityLimit,
-                                now + std::chrono::seconds(election_settings().leaseSeconds));
+    if (reachesStore(owner) && owner.stalledUntil <= now) {
+        owner.exclusiveUntil = now + std::chrono::seconds(election_settings().leaseSeconds);
+        owner.core.setAuthority(now, owner.authorityUntil(), owner.exclusiveUntil);
+    }
     at(std::max(now + 400ms, owner.stalledUntil), [this, &owner] { renewOwnership(owner); });
 }
 
 inline void scheduler_world::confirmOwnership(fake_host &owner, instant sentAt)
 {
+    if (lastConfirmation.epoch != owner.epoch)
+        lastConfirmation = {owner.epoch, 0};
     ++lastConfirmation.number;
     owner.confirmationSentAt = sentAt;
     for (const auto &host : hosts) {
         if (reachesStore(*host))
-            host->confirmations.onConfirmation(now, lastConfirmation);
+            host->confirmations.onConfirmation(
+                now, {lastConfirmation, formerConfirmation, clockMs(sentAt)});
     }
+    owner.core.setAuthority(now, owner.authorityUntil(), owner.exclusiveUntil);
 }
 
 inline std::size_t scheduler_world::runningTasks() const
@@ -593,6 +603,11 @@
     }
 }
 
+inline std::int64_t scheduler_world::clockMs(instant time) const
+{
+    return toMs(time.time_since_epoch());
+}
+
 inline std::int64_t scheduler_world::unixMs() const
 {
     return 1700000000000 + toMs(now.time_since_epoch());
--- a/test/failure/scheduler_departed_worker_test.cpp
+++ b/test/failure/scheduler_departed_worker_test.cpp
@@ -49,6 +49,62 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// The record of the tasks on a leaving worker was dropped if another owner had been elected since,
+// even one that was stopped before it read the records.
+TEST_F(departed_worker, BlocksNoTaskAfterAnOwnerThatNeverServed)
+{
+    world.runTime = [](const task_name &) { return 1000s; };
+    const job_spec spec = submit(first, "a", 8, true);
+    world.run(500ms);
+    fake_worker &leaving = firstBusyWorker();
+    leaving.info.isDraining = true;
+    first.core.onWorker(world.now, leaving.info);
+    first.scheduleTick();
+    world.run(2s);
+    ASSERT_TRUE(leaving.runs.empty());
+    // A task ends on another worker without an owner to see it.
+    world.removeWorker(leaving);
+    leaving.refusesConnections = false;
+    fake_worker &crashed = firstBusyWorker();
+    first.isDead = true;
+    crashed.isUp = false;
+    ++world.storeEpoch;
+    world.run(2s);
+    world.restartWorker(crashed);
+    world.run(takeoverTime - 2s);
+    world.takeOver(second);
+    world.run(continuousRestartLimit - takeoverTime);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// The record of a former owner must not outlive the use of the worker by a later one.
+TEST_F(departed_worker, BlocksTheTasksThatALaterOwnerStartedThere)
+{
+    world.runTime = [](const task_name &) { return 1000s; };
+    fake_worker &worker = world.workers.at({"w0"});
+    worker.info.isDraining = true;
+    first.core.onWorker(world.now, worker.info);
+    first.scheduleTick();
+    world.run(500ms);
+    first.isDead = true;
+    worker.info.isDraining = false;
+    world.run(1s);
+    world.takeOver(second);
+    world.run(500ms);
+    const job_spec spec = submit(second, "a", 16, true);
+    world.run(500ms);
+    ASSERT_EQ(worker.runs.size(), 4U);
+    second.isDead = true;
+    ++world.storeEpoch;
+    world.run(1s);
+    fake_host &third = world.addHost("host-3");
+    third.unreachableWorkers = {worker.info.id};
+    world.takeOver(third);
+    world.run(12s);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 TEST_F(departed_worker, AnUnreachableDrainingWorkerBlocksTheTasksThatItRuns)
 {
     world.runTime = [](const task_name &) { return 4s; };
--- a/test/failure/scheduler_election_test.cpp
+++ b/test/failure/scheduler_election_test.cpp
@@ -692,6 +692,72 @@
     EXPECT_EQ(b.election.earlierAuthority().endOf(1), b.now + limit);
 }
 
+// The successor counted the authority of an owner that had never served, and so had granted none.
+TEST_F(confirmed_owner, IsBoundedByItsLastConfirmationDespiteOwnersThatNeverServed)
+{
+    wait(1s);
+    confirm();
+    const instant confirmedAt = b.now;
+    b.readConfirmation();
+    for (const char *name : {"c", "d"}) {
+        store.endLease(store.lastLease);
+        candidate unserved(store, name);
+        unserved.now = b.now;
+        unserved.becomeOwner();
+        ASSERT_TRUE(unserved.election.isOwner());
+        wait(300ms);
+        b.readOwnerKey();
+        b.readConfirmation();
+    }
+    replaceOwner();
+    EXPECT_EQ(b.elected, std::vector<std::int64_t>{4});
+    EXPECT_EQ(b.election.earlierAuthority().endOf(3), confirmedAt + limit);
+    EXPECT_EQ(b.election.earlierAuthority().lastConfirmedEpochBefore(4), 1);
+}
+
+TEST_F(confirmed_owner, MayExtendNoLeaseBeforeItIsConfirmed)
+{
+    candidate started(store, "c");
+    started.now = a.now;
+    store.endLease(store.lastLease);
+    started.becomeOwner();
+    ASSERT_TRUE(started.election.isOwner());
+    EXPECT_EQ(started.authorityUntil, instant());
+    started.advanceTime(400ms);
+    started.serve();
+    EXPECT_EQ(started.authorityUntil, instant());
+    commit_batch batch = batchOf("cw/job/1", "x");
+    batch.confirmsOwnership = true;
+    started.election.commit(started.now, batch);
+    started.serve();
+    EXPECT_EQ(started.authorityUntil, started.now + limit);
+}
+
+// A host that watched an owner served and replaced knows the last confirmation of the one before.
+TEST_F(confirmed_owner, IsBoundedByItsLastConfirmationAfterTwoChanges)
+{
+    wait(1s);
+    confirm();
+    const instant confirmedAt = b.now;
+    b.readConfirmation();
+    wait(1200ms);
+    store.endLease(store.lastLease);
+    candidate c(store, "c");
+    c.now = b.now;
+    c.becomeOwner();
+    commit_batch batch = batchOf("cw/job/1", "x");
+    batch.confirmsOwnership = true;
+    c.election.commit(c.now, batch);
+    c.serve();
+    b.readOwnerKey();
+    b.readConfirmation();
+    const instant laterConfirmedAt = b.now;
+    wait(1200ms);
+    replaceOwner();
+    EXPECT_EQ(b.election.earlierAuthority().endOf(1), confirmedAt + limit);
+    EXPECT_EQ(b.election.earlierAuthority().endOf(2), laterConfirmedAt + limit);
+}
+
 // An owner of an earlier build leaves no confirmations.
 TEST_F(confirmed_owner, IsGivenTheLongestAuthorityIfItIsOfAnEarlierBuild)
 {
@@ -707,10 +773,10 @@
 {
     confirmation_watch watch(election_settings().authorityLimit);
     const instant start{100s};
-    watch.onReplaced(start, {1, 0});
+    watch.onAcquired(start, 2, {1, 0});
     watch.onEpoch(start, 2);
-    watch.onConfirmation(start, {2, 1});
-    watch.onReplaced(start + 1s, {2, 1});
+    watch.onConfirmation(start, {{2, 1}, std::nullopt, 0});
+    watch.onAcquired(start + 1s, 3, {2, 1});
     watch.onEpoch(start + 1s, 3);
     EXPECT_EQ(watch.formerAuthority().endOf(1), start + untracedAuthorityLimit);
 }
@@ -722,16 +788,30 @@
     const instant start{100s};
     watch.onEpoch(start - 10s, 1);
     watch.onEpoch(start, 2);
-    watch.onConfirmation(start, {2, 1});
-    watch.onReplaced(start + 1s, {2, 1});
+    watch.onConfirmation(start, {{2, 1}, std::nullopt, 0});
+    watch.onAcquired(start + 1s, 3, {2, 1});
     EXPECT_EQ(watch.formerAuthority().endOf(1), start + untracedAuthorityLimit);
 }
 
+// The reader of a stored time counts from when it can have been at the latest.
+TEST(EarlierAuthority, RelatesTimesOfAFormerOwnerToTheOwnClock)
+{
+    confirmation_watch watch(election_settings().authorityLimit);
+    const instant start{100s};
+    watch.onConfirmation(start, {{3, 1}, owner_confirmation{2, 5}, 7000});
+    watch.onConfirmation(start + 500ms, {{3, 2}, owner_confirmation{2, 5}, 7510});
+    watch.onConfirmation(start + 1s, {{3, 3}, owner_confirmation{2, 5}, 7900});
+    const earlier_authority &authority = watch.formerAuthority();
+    EXPECT_EQ(authority.latestTimeOf({3, 8000}), start + 990ms);
+    EXPECT_EQ(authority.latestTimeOf({4, 8000}), std::nullopt);
+}
+
 TEST_F(confirmed_owner, IsNotBoundedByMalformedText)
 {
     wait(1s);
     const instant confirmedAt = b.now - 1s;
-    for (const char *text : {"", "1", "1 ", "x 1", "1 1x", "1 99999999999999999999"})
+    for (const char *text : {"", "1", "1 ", "x 1", "1 1x", "1 99999999999999999999", "1 9 0",
+                             "1 9 0 0", "1 9 0 0 x", "1 9 0 0 5 6", " 1 9", "1  9"})
         b.election.onConfirmationKey(b.now, text);
     replaceOwner();
     EXPECT_EQ(b.election.earlierAuthority().endOf(1), confirmedAt + limit);
