--- a/packages/scheduler/silent_workers.cpp
+++ b/packages/scheduler/silent_workers.cpp
@@ -14,8 +14,9 @@
 
 /// A worker that this owner has used is silent after this many failed polls, because the loss of a
 /// relay fails one poll of each of its workers. One that has not reported yet is silent after its
-/// first failed poll.
+/// first failed poll, or this long after the takeover.
 constexpr int failedPollsOfSilentWorker = 2;
+constexpr duration longestFirstReport = 100ms;
 /// It is also silent after one failed poll if its last report is older than this, which is longer
 /// than a poll waits at the worker.
 constexpr duration longestReportAge = 1500ms;
@@ -46,7 +47,8 @@
 bool isSilent(const scheduler_state &state, const worker_record &worker)
 {
     if (!worker.hasReported && state.unreportedWorkers.contains(worker.info.id))
-        return worker.failedPolls > 0 || worker.isStoredAsSilent;
+        return worker.failedPolls > 0 || worker.isStoredAsSilent
+            || state.now - state.tookOverAt >= longestFirstReport;
     return worker.failedPolls >= failedPollsOfSilentWorker
         || (worker.failedPolls > 0 && state.now - worker.lastReportAt >= longestReportAge);
 }
@@ -65,6 +67,10 @@
 worker_list takeWorkerList(scheduler_state &state)
 {
     worker_list list;
+    list.writtenAt = owner_moment{
+        state.epoch,
+        std::chrono::duration_cast<std::chrono::milliseconds>(state.now.time_since_epoch())
+            .count()};
     for (auto &[id, worker] : state.workers) {
         list.workers.push_back({id, worker.info.address});
         if (!isSilent(state, worker))
@@ -108,21 +114,25 @@
 void restoreWorkers(scheduler_state &state, const worker_list &list,
                     const earlier_authority &authority)
 {
+    const std::int64_t lastLeaseEpoch = authority.lastConfirmedEpochBefore(state.epoch);
     for (const stored_worker &stored : list.workers) {
         worker_record &worker = state.workers[stored.id];
         worker.info.id = stored.id;
         worker.info.address = stored.address;
-        worker.lastLeaseEpoch = state.epoch - 1;
+        worker.lastLeaseEpoch = lastLeaseEpoch;
         worker.lease.limitLapse(authority.endOf(worker.lastLeaseEpoch));
         state.unreportedWorkers.add(stored.id);
     }
+    const instant writtenBy = list.writtenAt
+        ? std::min(state.now, authority.latestTimeOf(*list.writtenAt).value_or(state.now))
+        : state.now;
     for (const silent_lease &lease : list.silent) {
         worker_record *worker = state.findWorker(lease.worker);
         if (worker == nullptr)
             continue;
         worker->isStoredAsSilent = true;
-        worker->lastLeaseEpoch = std::min(lease.lastEpoch, state.epoch - 1);
-        const instant lapsesBy = state.now + std::chrono::milliseconds(lease.timeLeftMs);
+        worker->lastLeaseEpoch = std::min(lease.lastEpoch, lastLeaseEpoch);
+        const instant lapsesBy = writtenBy + std::chrono::milliseconds(lease.timeLeftMs);
         worker->lease.limitLapse(std::min(authority.endOf(worker->lastLeaseEpoch), lapsesBy));
     }
 }
--- a/packages/scheduler/worker_list.cpp
+++ b/packages/scheduler/worker_list.cpp
@@ -1,6 +1,7 @@
 #include "worker_list.h"
 
 #include <algorithm>
+#include <charconv>
 #include <sstream>
 #include <utility>
 
@@ -24,11 +25,28 @@
     return leases;
 }
 
+// Parses a line ` epoch/milliseconds`.
+std::optional<owner_moment> parseWrittenAt(std::string_view line)
+{
+    owner_moment moment;
+    const char *const end = line.data() + line.size();
+    const auto epoch = std::from_chars(line.data() + 1, end, moment.epoch);
+    if (epoch.ec != std::errc() || epoch.ptr == end || *epoch.ptr != '/')
+        return std::nullopt;
+    const auto clock = std::from_chars(epoch.ptr + 1, end, moment.clockMs);
+    if (clock.ec != std::errc() || clock.ptr != end)
+        return std::nullopt;
+    return moment;
+}
+
 } // namespace
 
 std::string toText(const worker_list &list)
 {
     std::string text;
+    if (list.writtenAt)
+        text += ' ' + std::to_string(list.writtenAt->epoch) + '/'
+            + std::to_string(list.writtenAt->clockMs) + '\n';
     for (const stored_worker &worker : list.workers)
         text += worker.id.value + ' ' + worker.address + '\n';
     for (const silent_lease &lease : list.silent)
@@ -45,6 +63,10 @@
          end = text.find('\n', begin)) {
         const std::string_view line = text.substr(begin, end - begin);
         begin = end + 1;
+        if (!line.empty() && line.front() == ' ') {
+            list.writtenAt = parseWrittenAt(line);
+            continue;
+        }
         const std::size_t space = std::min(line.rfind(' '), line.size());
         stored_worker worker;
         worker.id.value = line.substr(0, space);
--- a/packages/scheduler/worker_list.h
+++ b/packages/scheduler/worker_list.h
@@ -3,9 +3,12 @@
 #ifndef CROCUSWIND_SCHEDULER_WORKER_LIST_H
 #define CROCUSWIND_SCHEDULER_WORKER_LIST_H
 
+#include "earlier_authority.h"
+
 #include "base/base.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,8 +33,8 @@
 {
     worker_id worker;
     std::int64_t lastEpoch = 0; ///< No owner of a later epoch has granted the worker a lease.
-    /// The lease lapses within this time from when the list was written. The reader counts it from
-    /// the read, because clocks of hosts differ.
+    /// The lease lapses within this time from when the list was written, or from when it is read if
+    /// the reader can't tell when that was.
     std::int64_t timeLeftMs = 0;
 
     friend bool operator==(const silent_lease &a, const silent_lease &b)
@@ -45,19 +48,22 @@
 {
     std::vector<stored_worker> workers;
     std::vector<silent_lease> silent;
+    std::optional<owner_moment> writtenAt; ///< Absent in lists of earlier builds.
 
     friend bool operator==(const worker_list &a, const worker_list &b)
     {
-        return a.workers == b.workers && a.silent == b.silent;
+        return a.workers == b.workers && a.silent == b.silent && a.writtenAt == b.writtenAt;
     }
 };
 
-/// Formats one worker a line, `id address`. The silent leases follow the last line end, each as
-/// `id epoch milliseconds `: earlier builds ignore that part.
+/// Formats when the list was written as a line ` epoch/milliseconds`, which earlier builds skip,
+/// and one worker a line, `id address`. The silent leases follow the last line end, each as `id
+/// epoch milliseconds `: builds still earlier ignore that part.
 std::string toText(const worker_list &list);
 
 /// Parses the output of toText(). Lines without a worker are skipped. If the part on silent leases
-/// is malformed it counts as empty, so that the longest possible leases are assumed.
+/// is malformed it counts as empty, so that the longest possible leases are assumed; a malformed
+/// time counts as absent.
 worker_list parseWorkerList(std::string_view text);
 
 } // namespace crocuswind::scheduler
--- a/test/error/scheduler_worker_list_test.cpp
+++ b/test/error/scheduler_worker_list_test.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-const worker_list sample{{{{"w0"}, "10.0.0.1:80"}, {{"w1"}, ""}}, {{{"w1"}, 7, 5200}}};
+const worker_list sample{
+    {{{"w0"}, "10.0.0.1:80"}, {{"w1"}, ""}}, {{{"w1"}, 7, 5200}}, owner_moment{8, 123456}};
 
 } // namespace
 
@@ -19,13 +20,25 @@
 {
     EXPECT_EQ(parseWorkerList(toText(sample)), sample);
     EXPECT_EQ(parseWorkerList(""), worker_list());
+    worker_list ofEarlierBuild = sample;
+    ofEarlierBuild.writtenAt.reset();
+    EXPECT_EQ(parseWorkerList(toText(ofEarlierBuild)), ofEarlierBuild);
+}
+
+TEST(WorkerList, HasNoTimeIfItCannotBeRead)
+{
+    for (const char *bad : {" ", " 8", " 8/", " 8/x", " x/8", " 8/7 ", " 8/99999999999999999999"}) {
+        const worker_list list = parseWorkerList(std::string(bad) + "\nw0 a\n");
+        EXPECT_EQ(list.workers.size(), 1U) << bad;
+        EXPECT_EQ(list.writtenAt, std::nullopt) << bad;
+    }
 }
 
 // A host of an earlier build reads the lines and ignores what follows the last one.
 TEST(WorkerList, KeepsSilentLeasesOutOfTheLines)
 {
     const std::string text = toText(sample);
-    EXPECT_EQ(text.substr(0, text.rfind('\n') + 1), "w0 10.0.0.1:80\nw1 \n");
+    EXPECT_EQ(text.substr(0, text.rfind('\n') + 1), " 8/123456\nw0 10.0.0.1:80\nw1 \n");
 }
 
 TEST(WorkerList, AssumesTheLongestLeasesIfSilentOnesCannotBeRead)
--- a/test/failure/scheduler_silent_lease_test.cpp
+++ b/test/failure/scheduler_silent_lease_test.cpp
@@ -235,6 +235,59 @@
 
 namespace {
 
+/// The times from the loss of the worker to that of its owner, and for which the next owner serves,
+/// in milliseconds.
+struct two_owners_lost_after_worker : silent_lease_test,
+                                      testing::WithParamInterface<std::tuple<int, int>>
+{ };
+
+} // namespace
+
+// What the first owner's confirmations had shown was lost with the second owner.
+TEST_P(two_owners_lost_after_worker, RunsContinuousTasksElsewhereInTime)
+{
+    const auto [lostAfterMs, servedMs] = GetParam();
+    loseWorker();
+    runUntil(std::chrono::milliseconds(lostAfterMs));
+    replace(first, second);
+    world.run(std::chrono::milliseconds(servedMs));
+    replace(second, third);
+    runUntil(longestAbsence);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(SilentLease, two_owners_lost_after_worker,
+                         testing::Combine(testing::Range(0, 2001, 250),
+                                          testing::Range(0, 3001, 250)));
+
+namespace {
+
+/// The time from the loss of the worker to that of its owner, which has stored that it is silent,
+/// in milliseconds.
+struct owners_lost_after_silent_worker : silent_lease_test, testing::WithParamInterface<int>
+{ };
+
+} // namespace
+
+// Each reader of the list counted the time left of a silent worker's lease from its own read.
+TEST_P(owners_lost_after_silent_worker, RunContinuousTasksElsewhereInTime)
+{
+    loseWorker();
+    runUntil(std::chrono::milliseconds(GetParam()));
+    replace(first, second);
+    world.run(300ms);
+    replace(second, third);
+    runUntil(longestAbsence);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(SilentLease, owners_lost_after_silent_worker,
+                         testing::Range(2500, 5001, 100));
+
+namespace {
+
 /// The time from a confirmation of the owner until it is cut off, in milliseconds.
 struct owner_cut_off_with_worker : silent_lease_test, testing::WithParamInterface<int>
 { };
