--- a/packages/io/http_server.cpp
+++ b/packages/io/http_server.cpp
@@ -5,6 +5,7 @@
 #include "socket_address.h"
 #include "socket_throughput.h"
 
+#include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/bufferevent_ssl.h>
@@ -170,11 +171,7 @@
         const instant now = loop.now();
         for (auto i = connections.begin(); i != connections.end();) {
             server_connection &connection = i->second;
-            bufferevent_data_cb onRead = nullptr;
-            bufferevent_data_cb onWrite = nullptr;
-            bufferevent_event_cb onEvent = nullptr;
-            bufferevent_getcb(connection.socket, &onRead, &onWrite, &onEvent, nullptr);
-            if (onRead == nullptr && onWrite == nullptr && onEvent == nullptr) {
+            if (isClosed(connection)) {
                 bufferevent_decref(connection.socket);
                 i = connections.erase(i);
                 continue;
@@ -192,6 +189,22 @@
             scheduleSweep();
     }
 
+    // Returns true if evhttp has closed the connection.
+    static bool isClosed(const server_connection &connection)
+    {
+        bufferevent_data_cb onRead = nullptr;
+        bufferevent_data_cb onWrite = nullptr;
+        bufferevent_event_cb onEvent = nullptr;
+        bufferevent_getcb(connection.socket, &onRead, &onWrite, &onEvent, nullptr);
+        return onRead == nullptr && onWrite == nullptr && onEvent == nullptr;
+    }
+
+    static bool hasUnsentAnswer(const server_connection &connection)
+    {
+        return evbuffer_get_length(bufferevent_get_output(connection.socket)) != 0
+            && !isClosed(connection);
+    }
+
     static bool isIdle(const server_connection &connection)
     {
         return !connection.hasRequest
@@ -393,6 +406,15 @@
     return m_implementation->openStates.size();
 }
 
+bool http_server::isIdle() const
+{
+    const auto &connections = m_implementation->connections;
+    return m_implementation->openStates.empty()
+        && std::none_of(connections.begin(), connections.end(), [](const auto &entry) {
+               return implementation::hasUnsentAnswer(entry.second);
+           });
+}
+
 std::size_t http_server::openConnections() const
 {
     return m_implementation->connections.size();
--- a/packages/io/http_server.h
+++ b/packages/io/http_server.h
@@ -83,6 +83,10 @@
     /// Returns the number of unanswered requests whose client is still connected.
     std::size_t openRequests() const;
 
+    /// Returns true if no request is open and all answers have been passed to the system. A process
+    /// that ends before loses answers.
+    bool isIdle() const;
+
     /// Returns the number of open connections.
     std::size_t openConnections() const;
 
--- a/packages/jobs/job_router.cpp
+++ b/packages/jobs/job_router.cpp
@@ -64,13 +64,25 @@
     pending.deadline = deadline;
     pending.done = std::move(done);
     pending.deadlineTimer = m_loop.callAt(deadline, [this, token] { onDeadline(token); });
-    if (m_unreachableSince && m_loop.now() - *m_unreachableSince > ownerChangeGracePeriod) {
+    const bool isOwnerMissing
+        = m_unreachableSince && m_loop.now() - *m_unreachableSince > ownerChangeGracePeriod;
+    if (m_isStopped || isOwnerMissing) {
         onDeadline(token);
         return;
     }
     trySend(pending);
 }
 
+void job_router::stop()
+{
+    m_isStopped = true;
+    std::vector<call_token> open;
+    for (const auto &[token, pending] : m_pending)
+        open.push_back(token);
+    for (call_token token : open)
+        onDeadline(token);
+}
+
 void job_router::trySend(pending_call &pending)
 {
     if (!m_owner || pending.awaitingReplyFrom)
--- a/packages/jobs/job_router.h
+++ b/packages/jobs/job_router.h
@@ -46,6 +46,10 @@
     /// possibly before this function returns.
     void call(scheduler::job_call call, instant deadline, done_callback done);
 
+    /// Answers all calls at once, as at their deadlines, and from now on each new one. For a
+    /// process that is about to end.
+    void stop();
+
     /// Sets the owner of the jobs, or nothing if no host owns them.
     void setOwner(const std::optional<host_id> &owner);
 
@@ -88,6 +92,7 @@
     job_call_sender m_sender;
     std::optional<host_id> m_owner;
     std::optional<instant> m_unreachableSince;
+    bool m_isStopped = false;
     life_tokens m_tokens;
     std::map<scheduler::call_token, pending_call> m_pending;
     job_router_counters m_counters;
--- a/test/failure/io_http_test.cpp
+++ b/test/failure/io_http_test.cpp
@@ -470,6 +470,40 @@
     EXPECT_EQ(exchange(callTo(to)).outcome, http_outcome::not_connected);
 }
 
+// A process ended as soon as its last request was answered, before the answer was written.
+TEST_F(http_test, ServerIsNotIdleUntilItsAnswersAreWritten)
+{
+    std::optional<http_responder> held;
+    const ip_endpoint to
+        = serve([&](const http_request &, const http_responder &responder) { held = responder; });
+    std::optional<http_result> result;
+    client.send(callTo(to), [&](const http_result &r) { result = r; });
+    EXPECT_TRUE(loop.runUntil([&] { return held.has_value(); }, testTimeout));
+    EXPECT_FALSE(server->isIdle());
+    server->stopAccepting();
+    held->answer({200, "text/plain", {}, "last"});
+    EXPECT_EQ(server->openRequests(), 0U);
+    EXPECT_FALSE(server->isIdle());
+    EXPECT_TRUE(loop.runUntil([&] { return server->isIdle(); }, testTimeout));
+    server.reset();
+    EXPECT_TRUE(loop.runUntil([&] { return result.has_value(); }, testTimeout));
+    EXPECT_EQ(result->body, "last");
+}
+
+// A client that is gone takes no answer.
+TEST_F(http_test, ServerIsIdleOnceAClientThatReadsNothingIsGone)
+{
+    const std::string body(8 << 20, 'x');
+    const ip_endpoint to = serve([&](const http_request &, const http_responder &responder) {
+        responder.answer({200, "text/plain", {}, body});
+    });
+    auto reader = std::make_unique<raw_connection>(loop, to);
+    reader->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(loop.runUntil([&] { return !server->isIdle(); }, testTimeout));
+    reader.reset();
+    EXPECT_TRUE(loop.runUntil([&] { return server->isIdle(); }, testTimeout));
+}
+
 TEST_F(http_test, PortInUseIsReportedWithTheEndpoint)
 {
     const ip_endpoint to = serve([](const http_request &, const http_responder &) {});
--- a/test/failure/job_router_test.cpp
+++ b/test/failure/job_router_test.cpp
@@ -248,3 +248,27 @@
     ASSERT_TRUE(loop.runUntil([&] { return sent.has_value(); }, 30s));
     EXPECT_EQ(sent->outcome, job_outcome::no_answer);
 }
+
+// A process that ended left its open calls without an answer.
+TEST_F(repeated_call, IsAnsweredWhenTheProcessStops)
+{
+    std::vector<job_reply> answers;
+    const auto keep = [&](const job_reply &r) { answers.push_back(r); };
+    router.setOwner(std::nullopt);
+    job_call query;
+    query.kind = job_call_kind::query;
+    router.call(query, loop.now() + 60s, keep);
+    ASSERT_FALSE(answer.has_value());
+    router.stop();
+    // The owner that it was sent to may have carried it out.
+    ASSERT_TRUE(answer.has_value());
+    EXPECT_EQ(answer->outcome, job_outcome::no_answer);
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].outcome, job_outcome::refused);
+    EXPECT_GT(answers[0].retryAfterMs, 0);
+    job_call submission;
+    submission.kind = job_call_kind::submit;
+    router.call(submission, loop.now() + 60s, keep);
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers[1].outcome, job_outcome::refused);
+}
