--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -8,6 +8,7 @@
 #include <ctime>
 #include <fmt/format.h>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace crocuswind {
@@ -20,6 +21,8 @@
 constexpr duration peerSilenceTimeout = 1600ms;
 constexpr duration recordsReadTimeout = 3s;
 constexpr duration handoverPollInterval = 10ms;
+/// An owner that hands over waits this long for its changes to become durable.
+constexpr duration handoverTimeout = 1500ms;
 
 // The store reports that the owner's key is unchanged after this time without a change.
 constexpr duration ownerWatchMaxSilence = 1500ms;
@@ -267,6 +270,7 @@
     {
         router.onHostUnreachable(peer);
         relay.onOwnerLost(peer);
+        availablePeers.erase(peer);
         const std::size_t relaysBefore = workers.relayCount();
         workers.onHostLost(peer);
         if (workers.relayCount() != relaysBefore)
@@ -390,6 +394,10 @@
     void handleOffer(const host_id &peer, const relay_offer &offer)
     {
         workers.onOffer(peer, offer);
+        if (offer.isAvailable)
+            availablePeers.insert(peer);
+        else
+            availablePeers.erase(peer);
         schedulerLog.info("event=relay_offered host={} available={} data_centre={} millicores={} "
                           "relays={}",
                           peer.value, offer.isAvailable, offer.dataCentre.value, offer.milliCores,
@@ -429,11 +437,33 @@
         });
     }
 
+    // An owner that is stopping serves on until another host can succeed it, as long as its process
+    // lasts: hosts that are stopping too are no candidates.
+    bool canHandOver()
+    {
+        if (isHandingOver)
+            return true;
+        const bool isOverdue = loop.now() >= handoverDeadline - handoverTimeout;
+        if (availablePeers.empty() && !isOverdue) {
+            if (!std::exchange(isHandoverDeferred, true))
+                schedulerLog.info("event=handover_deferred epoch={} reason=no_candidate",
+                                  election.epoch());
+            return false;
+        }
+        isHandingOver = true;
+        handoverDeadline = std::min(handoverDeadline, loop.now() + handoverTimeout);
+        schedulerLog.info("event=handover epoch={} candidates={}", election.epoch(),
+                          availablePeers.size());
+        return true;
+    }
+
     void pollHandover()
     {
         if (!election.isOwner())
             return;
-        if (core.prepareHandover(loop.now()) || loop.now() >= handoverDeadline) {
+        const bool isDone
+            = canHandOver() && (core.prepareHandover(loop.now()) || loop.now() >= handoverDeadline);
+        if (isDone) {
             election.resign(loop.now());
             return;
         }
@@ -462,6 +492,11 @@
     instant authorityUntil;
     instant exclusiveUntil;
     instant handoverDeadline;
+    bool isHandingOver = false; ///< The core accepts no calls and starts no tasks any more.
+    bool isHandoverDeferred = false;
+    /// Hosts with a link to this one that are not stopping, so that one of them can become the
+    /// owner.
+    std::set<host_id> availablePeers;
     bool wasCoreOwner = false;
     bool isDraining = false;
     host_id knownOwner; ///< Empty if no host owns the jobs.
@@ -552,17 +587,21 @@
     m_implementation->router.call(std::move(call), deadline, std::move(done));
 }
 
-void job_host::handOver()
+void job_host::handOver(instant deadline)
 {
     implementation &i = *m_implementation;
-    constexpr duration handoverTimeout = 1500ms;
-    i.handoverDeadline = i.loop.now() + handoverTimeout;
+    i.handoverDeadline = deadline;
     i.isDraining = true;
     i.sendOffer();
     i.election.setEligible(i.loop.now(), false);
     i.pollHandover();
 }
 
+void job_host::stop()
+{
+    m_implementation->router.stop();
+}
+
 std::optional<instant> job_host::unreachableSince() const
 {
     return m_implementation->router.unreachableSince();
--- a/packages/jobs/job_host.h
+++ b/packages/jobs/job_host.h
@@ -64,9 +64,13 @@
     /// once, at \p deadline at the latest.
     void call(scheduler::job_call call, instant deadline, job_router::done_callback done);
 
-    /// Gives up the ownership once pending commits are durable, or after a timeout, and is no
-    /// candidate from then on. Calls are still accepted and forwarded to the new owner.
-    void handOver();
+    /// Gives up the ownership once another host can take it over and pending commits are durable,
+    /// at \p deadline at the latest, and is no candidate from then on. Calls are still accepted and
+    /// forwarded to the new owner.
+    void handOver(instant deadline);
+
+    /// Answers all open calls at once, and each new one. For a process that is about to end.
+    void stop();
 
     /// Returns since when this host has been unable to reach an owner, or nothing if it can.
     std::optional<instant> unreachableSince() const;
--- a/test/failure/platform_path_test.cpp
+++ b/test/failure/platform_path_test.cpp
@@ -229,6 +229,56 @@
     EXPECT_EQ(startsOf(jobA), 6);
 }
 
+// An owner that was stopped resigned although no other host could succeed it, and calls waited for
+// an owner that no host might become.
+TEST_F(platform_path, AStoppedOwnerServesOnUntilAnotherHostCanSucceedIt)
+{
+    startHost();
+    ASSERT_TRUE(becomesReady(hosts[0]));
+    ASSERT_EQ(submit(hosts[0], jobB), 200);
+    hosts[0].process->signal(SIGTERM);
+    ASSERT_TRUE(eventually([&] { return !isReady(hosts[0]); }));
+    EXPECT_EQ(submit(hosts[0], jobA), 200);
+    startHost();
+    ASSERT_TRUE(becomesReady(hosts[1]));
+    EXPECT_TRUE(completes(hosts[1], jobA));
+    EXPECT_TRUE(eventually([&] { return hosts[0].process->hasEnded(); }));
+    EXPECT_EQ(hosts[0].process->wait(), 0);
+    EXPECT_EQ(startsOf(jobA), 6);
+}
+
+// A host that stops ended with calls that waited for an owner, or before their refusals were
+// written.
+TEST_F(platform_path, AStoppedHostAnswersAllCallsWithoutAnOwner)
+{
+    startHost();
+    ASSERT_TRUE(becomesReady(hosts[0]));
+    startHost();
+    ASSERT_TRUE(becomesReady(hosts[1]));
+    hosts[0].process->signal(SIGKILL);
+    hosts[1].process->signal(SIGTERM);
+    // Calls arrive until the process accepts none any more.
+    std::vector<std::optional<http_result>> results(40);
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        http_call c;
+        c.to = hosts[1].callers;
+        c.method = "GET";
+        c.path = "/q/" + std::string(jobA);
+        c.headers = {{"Host", "jobs.example"}, {"Deadline-Ms", "5000"}};
+        c.deadline = loop.now() + 10s;
+        client.send(std::move(c), [&results, i](const http_result &r) { results[i] = r; });
+        loop.runUntil([] { return false; }, 50ms);
+    }
+    const auto isAnswered = [](const auto &result) { return result.has_value(); };
+    EXPECT_TRUE(
+        eventually([&] { return std::all_of(results.begin(), results.end(), isAnswered); }));
+    for (const auto &result : results) {
+        if (result->outcome != http_outcome::not_connected)
+            EXPECT_EQ(result->status, 503);
+    }
+    EXPECT_TRUE(eventually([&] { return hosts[1].process->hasEnded(); }));
+}
+
 // A malformed entry used to crash the process that read it, or made it stop following the list.
 TEST_F(platform_path, MalformedEntriesDoNotAffectOtherWorkers)
 {
