--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -90,12 +90,6 @@
     return tasks;
 }
 
-bool isLeavingRecordDue(const scheduler_state &state)
-{
-    return std::any_of(state.leavingDue.begin(), state.leavingDue.end(),
-                       [&state](const auto &entry) { return entry.second <= state.now; });
-}
-
 // Adds the write or the removal of a worker's leaving record. No task is started on a worker with
 // such a record until the removal is durable.
 void addLeavingRecord(scheduler_state &state, const worker_id &id, commit_batch &batch)
@@ -367,6 +361,12 @@
 
 } // namespace
 
+bool isLeavingRecordDue(const scheduler_state &state)
+{
+    return std::any_of(state.leavingDue.begin(), state.leavingDue.end(),
+                       [&state](const auto &entry) { return entry.second <= state.now; });
+}
+
 bool isLeavingRecordPending(const scheduler_state &state, const worker_id &id)
 {
     return state.leavingDue.count(id) != 0 || state.committingLeaving.count(id) != 0;
--- a/packages/scheduler/commit_log.h
+++ b/packages/scheduler/commit_log.h
@@ -6,6 +6,9 @@
 
 namespace crocuswind::scheduler {
 
+/// Returns true if the leaving record of any worker is to be written or removed by now.
+bool isLeavingRecordDue(const scheduler_state &state);
+
 /// Returns true if a write or removal of the worker's leaving record is scheduled or in flight, so
 /// that an outdated leaving record may be in the store.
 bool isLeavingRecordPending(const scheduler_state &state, const worker_id &id);
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -237,13 +237,17 @@
     const bool isFirstCall = !std::exchange(i.state.isHandingOver, true);
     i.state.nextCommitAt = now;
     // The next owner counts the time left of silent leases from when it reads it.
-    if (isFirstCall)
+    if (isFirstCall) {
         i.state.nextSilentListAt = now;
+        for (auto &[id, due] : i.state.leavingDue)
+            due = now;
+    }
     if (isFirstCall && i.state.isOwner)
         reviewSilentWorkers(i.state);
     flushCommits(i.state);
     return !i.state.isOwner
-        || (!i.state.isCommitting && !i.state.isWorkerListDirty && i.state.dirtyJobs.empty());
+        || (!i.state.isCommitting && !i.state.isWorkerListDirty && i.state.dirtyJobs.empty()
+            && !isLeavingRecordDue(i.state));
 }
 
 void scheduler_core::setAuthority(instant now, instant authorityUntil, instant exclusiveUntil)
--- a/test/failure/scheduler_departed_worker_test.cpp
+++ b/test/failure/scheduler_departed_worker_test.cpp
@@ -261,6 +261,29 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// A record that names tasks which the worker no longer has is corrected within a second, or by the
+// hand-over.
+TEST_F(departed_worker, IsLimitedToItsLastTasksByAHandover)
+{
+    world.runTime = [](const task_name &) { return 1000s; };
+    const job_spec finite = submit(first, "f", 4, false);
+    world.run(300ms);
+    const job_spec spec = submit(first, "a", 8, true);
+    world.run(500ms);
+    fake_worker &leaving = firstWorkerOf(finite);
+    leaving.info.isDraining = true;
+    first.core.onWorker(world.now, leaving.info);
+    first.scheduleTick();
+    world.run(500ms);
+    ASSERT_FALSE(leaving.runs.empty());
+    std::string tasks;
+    for (const auto &[task, run] : leaving.runs)
+        tasks += toString(task) + '\n';
+    while (!first.core.prepareHandover(world.now))
+        world.run(10ms);
+    EXPECT_EQ(world.store.at("cw/leaving/" + leaving.info.id.value), "1\n" + tasks);
+}
+
 // An idle owner that is stopped while the store is away waited for a commit that only confirms its
 // ownership.
 TEST_F(departed_worker, APlannedStopWaitsForNoCommitThatStoresNothing)
