--- a/packages/scheduler/confirmation_watch.cpp
+++ b/packages/scheduler/confirmation_watch.cpp
@@ -17,12 +17,14 @@
     const bool isFirst = m_sights.empty();
     if (!isFirst && !(m_sights.back().published.confirmation < confirmation))
         return;
+    const bool isFirstOfEpoch
+        = isFirst || m_sights.back().published.confirmation.epoch != confirmation.epoch;
     m_isAgeKnown = !isFirst;
     m_sights.push_back({published, now});
+    if (published.former && isFirstOfEpoch)
+        limitBy(now, confirmation.epoch, *published.former);
     while (m_sights.size() > 1 && m_sights.front().at < now - sightRetention)
         m_sights.pop_front();
-    if (published.former)
-        limitBy(now, confirmation.epoch, *published.former);
     if (published.clockMs != 0)
         m_formerAuthority.noteClock(confirmation.epoch, published.clockMs, now);
 }
--- a/packages/scheduler/earlier_authority.cpp
+++ b/packages/scheduler/earlier_authority.cpp
@@ -1,6 +1,7 @@
 #include "earlier_authority.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace crocuswind::scheduler {
@@ -9,6 +10,8 @@
 
 /// Times of owners further back are not asked for: each owner stores its list of workers anew.
 constexpr std::size_t maxClocks = 16;
+/// Older readings bound nothing more closely, as the difference of the clocks' rates adds up.
+constexpr std::size_t maxSightsOfClock = 20;
 
 } // namespace
 
@@ -39,19 +42,28 @@
 
 void earlier_authority::noteClock(std::int64_t epoch, std::int64_t clockMs, instant now)
 {
-    const instant origin = now - std::chrono::milliseconds(clockMs);
-    const auto [found, isNew] = m_clockOrigins.try_emplace(epoch, origin);
-    found->second = std::min(found->second, origin);
-    if (m_clockOrigins.size() > maxClocks)
-        m_clockOrigins.erase(m_clockOrigins.begin());
+    std::deque<clock_sight> &sights = m_clocks[epoch];
+    sights.push_back({clockMs, now});
+    if (sights.size() > maxSightsOfClock)
+        sights.pop_front();
+    if (m_clocks.size() > maxClocks)
+        m_clocks.erase(m_clocks.begin());
 }
 
+// A reading was seen late by an unknown time, so the earliest of the bounds is the closest one.
 std::optional<instant> earlier_authority::latestTimeOf(const owner_moment &moment) const
 {
-    const auto found = m_clockOrigins.find(moment.epoch);
-    if (found == m_clockOrigins.end())
+    const auto found = m_clocks.find(moment.epoch);
+    if (found == m_clocks.end())
         return std::nullopt;
-    return found->second + std::chrono::milliseconds(moment.clockMs);
+    instant latest = instant::max();
+    for (const clock_sight &sight : found->second) {
+        const double sinceSightMs = double(moment.clockMs - sight.clockMs);
+        const double margin = std::abs(sinceSightMs) * maxClockRateDifference;
+        const std::chrono::duration<double, std::milli> sinceSight(sinceSightMs + margin);
+        latest = std::min(latest, sight.at + std::chrono::ceil<duration>(sinceSight));
+    }
+    return latest;
 }
 
 void earlier_authority::forgetBefore(instant now)
--- a/packages/scheduler/earlier_authority.h
+++ b/packages/scheduler/earlier_authority.h
@@ -6,11 +6,15 @@
 #include "base/base.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 
 namespace crocuswind::scheduler {
 
+/// Maximum relative difference of the rates of two hosts' clocks.
+constexpr double maxClockRateDifference = 0.02;
+
 /// A moment on the clock of the owner of an epoch.
 struct owner_moment
 {
@@ -48,18 +52,24 @@
     void noteClock(std::int64_t epoch, std::int64_t clockMs, instant now);
 
     /// Returns the latest time at which the moment may have been, or nothing if this host has not
-    /// seen that owner's clock.
+    /// seen that owner's clock. The rates of the two clocks may differ by maxClockRateDifference.
     std::optional<instant> latestTimeOf(const owner_moment &moment) const;
 
     /// Forgets the bounds that do not differ from others by \p now, because both have passed.
     void forgetBefore(instant now);
 
 private:
+    struct clock_sight
+    {
+        std::int64_t clockMs = 0;
+        instant at;
+    };
+
     /// The ends by epoch. They increase with the epoch.
     std::map<std::int64_t, instant> m_ends;
     std::optional<std::int64_t> m_lastConfirmedEpoch;
-    /// By epoch, the latest time at which the owner's clock may have read 0.
-    std::map<std::int64_t, instant> m_clockOrigins;
+    /// The last readings of the owners' clocks, by epoch.
+    std::map<std::int64_t, std::deque<clock_sight>> m_clocks;
 };
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/owner_keys.cpp
+++ b/packages/scheduler/owner_keys.cpp
@@ -52,9 +52,9 @@
     epoch_record value;
     const char *const end = text.data() + text.size();
     const auto epoch = std::from_chars(text.data(), end, value.epoch);
+    value.lastConfirmed.epoch = value.epoch;
     if (epoch.ec != std::errc() || epoch.ptr == end)
         return value;
-    value.lastConfirmed.epoch = value.epoch;
     const auto commit = std::from_chars(epoch.ptr + 1, end, value.commit);
     if (commit.ec != std::errc() || commit.ptr == end)
         return value;
