--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -236,7 +236,7 @@
     i.setNow(now);
     const bool isFirstCall = !std::exchange(i.state.isHandingOver, true);
     i.state.nextCommitAt = now;
-    // The next owner counts the time left of silent leases from when it reads it.
+    // A fresh list bounds the leases of silent workers most closely.
     if (isFirstCall) {
         i.state.nextSilentListAt = now;
         for (auto &[id, due] : i.state.leavingDue)
--- a/packages/scheduler/silent_workers.cpp
+++ b/packages/scheduler/silent_workers.cpp
@@ -14,7 +14,7 @@
 
 /// A worker that this owner has used is silent after this many failed polls, because the loss of a
 /// relay fails one poll of each of its workers. One that has not reported yet is silent after its
-/// first failed poll, or this long after the takeover.
+/// first failed poll, or this long after the takeover if most others have reported.
 constexpr int failedPollsOfSilentWorker = 2;
 constexpr duration longestFirstReport = 100ms;
 /// It is also silent after one failed poll if its last report is older than this, which is longer
@@ -31,6 +31,14 @@
     return lease;
 }
 
+// Returns true if former workers without a report are to count as silent: the next owner would not
+// know that this one has granted them nothing. Not while most of a large fleet is still to report.
+bool isOutstanding(const scheduler_state &state)
+{
+    const bool areFew = state.unreportedWorkers.size() * 4 <= state.workers.size();
+    return state.isHandingOver || (areFew && state.now - state.tookOverAt >= longestFirstReport);
+}
+
 // Returns true if the stored list has to change because of the worker.
 bool needsStoring(const scheduler_state &state, const worker_record &worker)
 {
@@ -47,8 +55,7 @@
 bool isSilent(const scheduler_state &state, const worker_record &worker)
 {
     if (!worker.hasReported && state.unreportedWorkers.contains(worker.info.id))
-        return worker.failedPolls > 0 || worker.isStoredAsSilent
-            || state.now - state.tookOverAt >= longestFirstReport;
+        return worker.failedPolls > 0 || worker.isStoredAsSilent || isOutstanding(state);
     return worker.failedPolls >= failedPollsOfSilentWorker
         || (worker.failedPolls > 0 && state.now - worker.lastReportAt >= longestReportAge);
 }
--- a/test/failure/scheduler_silent_lease_test.cpp
+++ b/test/failure/scheduler_silent_lease_test.cpp
@@ -263,6 +263,54 @@
 
 namespace {
 
+/// The times from the loss of the worker to that of its owner, and for which the next owner serves
+/// before it is stopped, in milliseconds.
+struct owner_stopped_after_takeover : silent_lease_test,
+                                      testing::WithParamInterface<std::tuple<int, int>>
+{ };
+
+} // namespace
+
+// An owner that was stopped before the worker's silence showed left no word of what it had
+// inherited.
+TEST_P(owner_stopped_after_takeover, RunsContinuousTasksElsewhereInTime)
+{
+    const auto [lostAfterMs, servedMs] = GetParam();
+    loseWorker();
+    runUntil(std::chrono::milliseconds(lostAfterMs));
+    replace(first, second);
+    world.run(std::chrono::milliseconds(servedMs));
+    handOver(second, third);
+    runUntil(longestAbsence);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(SilentLease, owner_stopped_after_takeover,
+                         testing::Combine(testing::Range(0, 2001, 250),
+                                          testing::Values(5, 20, 40, 60, 80, 100, 150)));
+
+// The clock of the owner loses 3 s against that of its successor between two confirmations.
+TEST_F(silent_lease_test, IsAwaitedByAReaderWhoseClockIsFaster)
+{
+    owner_confirmation seen = world.lastConfirmation;
+    ++seen.number;
+    second.confirmations.onConfirmation(
+        world.now, {seen, world.formerConfirmation, world.clockMs(world.now) + 3000});
+    ++world.lastConfirmation.number;
+    world.run(12s);
+    fake_worker &worker = firstBusyWorker();
+    for (fake_host *host : {&first, &second})
+        host->unreachableWorkers = {worker.info.id};
+    world.run(2500ms);
+    EXPECT_NE(world.store.at("cw/workers").back(), '\n');
+    replace(first, second);
+    world.run(6s);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+namespace {
+
 /// The time from the loss of the worker to that of its owner, which has stored that it is silent,
 /// in milliseconds.
 struct owners_lost_after_silent_worker : silent_lease_test, testing::WithParamInterface<int>
