--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -23,6 +23,8 @@
 constexpr duration handoverPollInterval = 10ms;
 /// An owner that hands over waits this long for its changes to become durable.
 constexpr duration handoverTimeout = 1500ms;
+/// Without another host that can succeed it, it begins this long before its deadline.
+constexpr duration lastHandoverTime = 500ms;
 
 // The store reports that the owner's key is unchanged after this time without a change.
 constexpr duration ownerWatchMaxSilence = 1500ms;
@@ -443,7 +445,7 @@
     {
         if (isHandingOver)
             return true;
-        const bool isOverdue = loop.now() >= handoverDeadline - handoverTimeout;
+        const bool isOverdue = loop.now() >= handoverDeadline - lastHandoverTime;
         if (availablePeers.empty() && !isOverdue) {
             if (!std::exchange(isHandoverDeferred, true))
                 schedulerLog.info("event=handover_deferred epoch={} reason=no_candidate",
--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -7,8 +7,8 @@
 #include "task_lifecycle.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fmt/format.h>
-#include <limits>
 #include <sstream>
 #include <utility>
 
@@ -266,17 +266,20 @@
         worker->mayHaveLeavingRecord = true;
     std::set<task_name> tasks;
     std::istringstream lines(text);
+    std::string firstLine;
+    std::getline(lines, firstLine);
     std::int64_t epoch = 0;
-    lines >> epoch;
+    const char *const end = firstLine.data() + firstLine.size();
+    const auto [rest, error] = std::from_chars(firstLine.data(), end, epoch);
+    const bool isEpochRead = error == std::errc() && rest == end;
     const std::int64_t lastConfirmed = authority.lastConfirmedEpochBefore(state.epoch);
-    const bool isCurrent = epoch >= lastConfirmed && epoch < state.epoch;
+    const bool isCurrent = isEpochRead && epoch >= lastConfirmed && epoch < state.epoch;
     state.logDetail("leaving_record", [&] {
         return fmt::format("worker={} epoch={} last_confirmed_epoch={} is_current={}", id.value,
                            epoch, lastConfirmed, isCurrent);
     });
     if (!isCurrent)
         return;
-    lines.ignore(std::numeric_limits<std::streamsize>::max(), '\n');
     for (std::string line; std::getline(lines, line);) {
         const auto task = parseTaskName(line);
         if (!task)
--- a/test/failure/platform_path_test.cpp
+++ b/test/failure/platform_path_test.cpp
@@ -273,8 +273,8 @@
     EXPECT_TRUE(
         eventually([&] { return std::all_of(results.begin(), results.end(), isAnswered); }));
     for (const auto &result : results) {
-        if (result->outcome != http_outcome::not_connected)
-            EXPECT_EQ(result->status, 503);
+        const bool isRefused = result->outcome == http_outcome::not_connected;
+        EXPECT_TRUE(isRefused || result->status == 503) << result->status;
     }
     EXPECT_TRUE(eventually([&] { return hosts[1].process->hasEnded(); }));
 }
