--- a/packages/io/http_server.cpp
+++ b/packages/io/http_server.cpp
@@ -40,17 +40,6 @@
 
 } // namespace
 
-// State of one connection. evhttp does not report that a connection was opened, nor that it was
-// closed before its first request. The server therefore creates the bufferevent of each connection
-// and keeps a reference to it: when evhttp frees the bufferevent, its callbacks are cleared.
-struct server_connection
-{
-    bufferevent *socket = nullptr;
-    instant waitingSince; ///< When it was accepted or last answered; start of the idle timeout.
-    bool hasRequest = false;
-    bool isConfigured = false;
-};
-
 struct http_responder::state
 {
     ~state();
@@ -65,6 +54,23 @@
 
 struct http_server::implementation
 {
+    // State of one connection. evhttp does not report that a connection was opened, nor that it was
+    // closed before its first request reached the handler, for instance because evhttp answered the
+    // request itself. The server therefore creates the bufferevent of each connection and keeps a
+    // reference to it: when evhttp frees the bufferevent, its callbacks are cleared. The
+    // bufferevent also owns the descriptor. If evhttp closed it, the loop would still watch the
+    // closed descriptor until the reference is dropped, and would not watch the next connection
+    // that has the same descriptor.
+    struct server_connection
+    {
+        implementation *server = nullptr;
+        bufferevent *socket = nullptr;
+        instant waitingSince; ///< When it was accepted or last answered; start of the idle timeout.
+        bool hasRequest = false;
+        bool hasReachedHandler = false; ///< evhttp reports its end from then on.
+        bool isCheckDue = false;
+    };
+
     implementation(event_loop &l, http_server_settings s, handler h)
         : loop(l)
         , settings(std::move(s))
@@ -99,6 +105,7 @@
         evhttp_free(http);
         for (auto &[socket, connection] : connections)
             bufferevent_decref(socket);
+        loop.cancel(checkTimer);
     }
 
     tl::expected<ip_endpoint, std::string> listen(const ip_endpoint &where)
@@ -130,7 +137,7 @@
         bufferevent *socket = settings.tls
             ? bufferevent_openssl_socket_new(base, -1, settings.tls->newServerSession(),
                                              BUFFEREVENT_SSL_ACCEPTING, BEV_OPT_CLOSE_ON_FREE)
-            : bufferevent_socket_new(base, -1, 0);
+            : bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
         CROCUSWIND_INVARIANT(socket != nullptr, "cannot create a bufferevent");
         enableLargeWrites(socket);
         if (settings.tls)
@@ -138,7 +145,12 @@
         else
             enableLargeReads(socket);
         bufferevent_incref(socket);
-        connections[socket] = {socket, loop.now(), false, false};
+        server_connection &connection = connections[socket];
+        connection.server = this;
+        connection.socket = socket;
+        connection.waitingSince = loop.now();
+        evbuffer_add_cb(bufferevent_get_input(socket), &implementation::onBytes, &connection);
+        evbuffer_add_cb(bufferevent_get_output(socket), &implementation::onBytes, &connection);
         updateListeners();
         if (sweepTimer == 0 || isFull())
             scheduleSweep();
@@ -165,6 +177,40 @@
                                  [this] { sweep(); });
     }
 
+    // Bytes were read or written before the first request reached the handler. This may be the last
+    // that is seen of the connection, since evhttp does not report its end.
+    static void onBytes(evbuffer *, const evbuffer_cb_info *, void *argument)
+    {
+        auto *connection = static_cast<server_connection *>(argument);
+        if (!std::exchange(connection->isCheckDue, true))
+            connection->server->scheduleCheck(connection->socket);
+    }
+
+    void scheduleCheck(bufferevent *socket)
+    {
+        toCheck.push_back(socket);
+        if (checkTimer == 0)
+            checkTimer = loop.callAt(loop.now(), [this] { checkForEnd(); });
+    }
+
+    // Removes those connections that evhttp has closed. Until then, their bufferevents keep the
+    // descriptors open and go on reading.
+    void checkForEnd()
+    {
+        checkTimer = 0;
+        for (bufferevent *socket : std::exchange(toCheck, {})) {
+            const auto found = connections.find(socket);
+            if (found == connections.end())
+                continue;
+            found->second.isCheckDue = false;
+            if (isClosed(found->second)) {
+                bufferevent_decref(socket);
+                connections.erase(found);
+            }
+        }
+        updateListeners();
+    }
+
     // Removes connections that evhttp has closed, and closes connections that have timed out.
     void sweep()
     {
@@ -253,7 +299,11 @@
         event_add(state->closeEvent, nullptr);
         openStates.insert(state.get());
         if (const auto found = connections.find(socket); found != connections.end()) {
-            if (!std::exchange(found->second.isConfigured, true)) {
+            if (!std::exchange(found->second.hasReachedHandler, true)) {
+                evbuffer_remove_cb(bufferevent_get_input(socket), &implementation::onBytes,
+                                   &found->second);
+                evbuffer_remove_cb(bufferevent_get_output(socket), &implementation::onBytes,
+                                   &found->second);
                 const int on = 1;
                 setsockopt(bufferevent_getfd(socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
             }
@@ -347,7 +397,9 @@
     std::vector<evhttp_bound_socket *> listeners;
     std::unordered_map<bufferevent *, server_connection> connections;
     std::set<http_responder::state *> openStates;
+    std::vector<bufferevent *> toCheck; ///< Connections that evhttp may have closed.
     timer_id sweepTimer = 0;
+    timer_id checkTimer = 0;
     bool isDraining = false;
 };
 
