--- a/test/failure/scheduler_silent_lease_test.cpp
+++ b/test/failure/scheduler_silent_lease_test.cpp
@@ -192,6 +192,25 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// An owner that was stopped before any poll failed passed on an unreported worker as if it had
+// granted it a lease, so that each such owner made its successor wait anew.
+TEST_F(silent_lease_test, IsAwaitedOnceByOwnersThatAreStoppedAtOnce)
+{
+    loseWorker();
+    runUntil(1s);
+    handOver(first, second);
+    std::vector<fake_host *> hosts = {&second, &third, &fourth};
+    for (int i = 0; i < 8; ++i)
+        hosts.push_back(&world.addHost(fmt::format("host-{}", 5 + i)));
+    for (std::size_t i = 0; i + 1 < hosts.size(); ++i) {
+        world.run(30ms);
+        handOver(*hosts[i], *hosts[i + 1]);
+    }
+    runUntil(longestAbsence);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 // A poll that waits at a lost worker fails late, so one failed poll has to be enough.
 TEST_F(silent_lease_test, IsStoredTwoSecondsAfterTheLoss)
 {
