--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -150,8 +150,13 @@
     explicit scheduler_world(std::uint64_t seed = 1);
 
     fake_worker &addWorker(const std::string &name, const std::string &rack, resources capacity);
+
+    /// Adds a host, which finds what the last owner published in the store.
     fake_host &addHost(const std::string &name);
 
+    /// Elects an owner, which publishes this. Without takeOver() it is one that never serves.
+    void elect();
+
     /// Makes the host the owner: it gets a new epoch and reads all records of the store.
     void takeOver(fake_host &owner);
 
@@ -232,11 +237,14 @@
     std::set<task_name> doneAcknowledged; ///< Tasks whose success is acknowledged.
 
 private:
+    /// An owner publishes this in the store. The hosts that reach the store see it.
+    void publish(const published_confirmation &published);
     /// Lets the owners see the entry of the life of the worker that began at \p bootedAt.
     void checkIn(fake_worker &worker, instant bootedAt);
     void checkStart(const fake_worker &worker, const task_name &task);
     void endRun(fake_worker &worker, const task_name &task, completion_reason reason);
 
+    std::optional<published_confirmation> m_published; ///< In the store.
     std::multimap<instant, std::function<void()>> m_events;
 };
 
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -457,7 +457,19 @@
 inline fake_host &scheduler_world::addHost(const std::string &name)
 {
     hosts.push_back(std::make_unique<fake_host>(*this, name));
-    return *hosts.back();
+    fake_host &host = *hosts.back();
+    if (m_published && reachesStore(host))
+        host.confirmations.onConfirmation(now, *m_published);
+    return host;
+}
+
+inline void scheduler_world::publish(const published_confirmation &published)
+{
+    m_published = published;
+    for (const auto &host : hosts) {
+        if (reachesStore(*host))
+            host->confirmations.onConfirmation(now, published);
+    }
 }
 
 inline bool scheduler_world::reachesStore(const fake_host &host) const
@@ -465,19 +477,23 @@
     return !host.isDead && !host.isStoreUnreachable && !isStoreDown;
 }
 
-inline void scheduler_world::takeOver(fake_host &owner)
+inline void scheduler_world::elect()
 {
-    owner.epoch = ++storeEpoch;
-    owner.confirmations.onAcquired(now, storeEpoch, lastConfirmation);
+    ++storeEpoch;
     formerConfirmation = lastConfirmation;
-    owner.confirmationSentAt.reset();
     for (const auto &host : hosts) {
-        if (!reachesStore(*host))
-            continue;
-        host->confirmations.onEpoch(now, storeEpoch);
-        host->confirmations.onConfirmation(now,
-                                           {{storeEpoch, 0}, formerConfirmation, clockMs(now)});
+        if (reachesStore(*host))
+            host->confirmations.onEpoch(now, storeEpoch);
     }
+    publish({{storeEpoch, 0}, formerConfirmation, clockMs(now)});
+}
+
+inline void scheduler_world::takeOver(fake_host &owner)
+{
+    owner.confirmations.onAcquired(now, storeEpoch + 1, lastConfirmation);
+    owner.confirmationSentAt.reset();
+    elect();
+    owner.epoch = storeEpoch;
     std::vector<stored_record> records;
     for (const auto &[key, value] : store)
         records.push_back({key, value});
@@ -523,11 +539,7 @@
         lastConfirmation = {owner.epoch, 0};
     ++lastConfirmation.number;
     owner.confirmationSentAt = sentAt;
-    for (const auto &host : hosts) {
-        if (reachesStore(*host))
-            host->confirmations.onConfirmation(
-                now, {lastConfirmation, formerConfirmation, clockMs(sentAt)});
-    }
+    publish({lastConfirmation, formerConfirmation, clockMs(sentAt)});
     owner.core.setAuthority(now, owner.authorityUntil(), owner.exclusiveUntil);
 }
 
