--- a/test/failure/io_malformed_request_test.cpp
+++ b/test/failure/io_malformed_request_test.cpp
@@ -78,6 +78,7 @@
     {
         connection.send(request.bytes);
     }
+    ~client() { connection.reset(); }
 
     bool isAnswered() const
     {
--- a/test/failure/io_raw_peer.h
+++ b/test/failure/io_raw_peer.h
@@ -56,6 +56,16 @@
         m_socket = nullptr;
         isClosed = true;
     }
+    /// Closes the connection with a reset, so that its port is free again at once. Thousands of
+    /// ports in TIME_WAIT would leave none for tests that run at the same time.
+    void reset()
+    {
+        const linger immediate = {1, 0};
+        if (m_socket != nullptr)
+            setsockopt(bufferevent_getfd(m_socket), SOL_SOCKET, SO_LINGER, &immediate,
+                       sizeof(immediate));
+        close();
+    }
     /// Closes the connection once all bytes have been written to the socket.
     void closeWhenSent()
     {
