--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -306,6 +306,7 @@
     updatePolicy(state, job);
     job.criticalPathsMs = computeCriticalPathsMs(job.spec);
     state.unstartedJobs.insert(job.spec.name);
+    job.idleSince = job.hasStarted() ? state.now : job.acceptedAt;
     resumeOccurrences(state, job, unixNowMs);
 }
 
--- a/packages/scheduler/job_intake.cpp
+++ b/packages/scheduler/job_intake.cpp
@@ -47,6 +47,7 @@
     job->policy = policy;
     job->acceptedPolicy = policy;
     job->acceptedAt = state.now;
+    job->idleSince = state.now;
     job->acceptedUnixMs = state.unixOffsetMs
         + std::chrono::duration_cast<std::chrono::milliseconds>(state.now.time_since_epoch())
               .count();
--- a/packages/scheduler/job_record.cpp
+++ b/packages/scheduler/job_record.cpp
@@ -108,6 +108,12 @@
     return {from + span, from + lateMultiple * span};
 }
 
+instant waitingSince(const job_record &job, const occurrence_state &occurrence)
+{
+    return job.spec.scheduledOccurrences > 0 ? std::max(job.idleSince, occurrence.dueAt)
+                                             : job.idleSince;
+}
+
 std::string toString(job_status status)
 {
     switch (status) {
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -96,6 +96,8 @@
     std::int64_t finishedUnixMs = 0; ///< Unix time of its end; 0 while it has not ended.
     bool isFinishStored = false; ///< Its end is durable and may be shown to callers.
     std::map<int, occurrence_state> occurrences; ///< Occurrences that are not done, by number.
+    int boundRuns = 0; ///< Number of runs that may exist on workers.
+    instant idleSince; ///< Since when `boundRuns` is 0. Meaningful only while it is.
     int occurrencesDone = 0; ///< All occurrences below this number are done, see `doneLater`.
     std::vector<int> doneLater; ///< Numbers of done occurrences beyond `occurrencesDone`.
 
@@ -134,6 +136,10 @@
 /// acceptance.
 job_objective objectiveOf(const job_record &job, const occurrence_state &occurrence);
 
+/// Returns since when the released occurrence has waited for a run, if no run of the job exists:
+/// the end of the job's last run, or the due time if it is later.
+instant waitingSince(const job_record &job, const occurrence_state &occurrence);
+
 /// Returns the name of the status as callers see it.
 std::string toString(job_status status);
 
--- a/packages/scheduler/run_binding.cpp
+++ b/packages/scheduler/run_binding.cpp
@@ -70,6 +70,7 @@
     task.isStopAnswered = false;
     bound_run &bound = worker.runs[name];
     bound = {run, &job, &step, &task};
+    ++job.boundRuns;
     if (step.isBestEffort)
         bound.bestEffort = &addBestEffort(state, worker, step);
     if (step.latencyTargetMs > 0)
@@ -85,6 +86,9 @@
     worker_record &worker = *state.findWorker(task.worker);
     const auto bound = worker.runs.find(name);
     const step_spec &step = *bound->second.step;
+    job_record &job = *bound->second.job;
+    if (--job.boundRuns == 0)
+        job.idleSince = state.now;
     worker.runs.erase(bound);
     if (step.isBestEffort)
         removeBestEffort(worker, step);
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -10,6 +10,7 @@
 #include "scheduler_state.h"
 #include "silent_workers.h"
 #include "task_lifecycle.h"
+#include "waiting_jobs.h"
 #include "worker_choice.h"
 #include "worker_polls.h"
 #include "worker_reports.h"
@@ -434,6 +435,7 @@
     i.state.counters.workersUnreported = std::int64_t(i.state.unreportedWorkers.size());
     dispatch(i.state);
     logAbsentTasks(i.state);
+    logWaitingJobs(i.state);
     i.runFollowUps();
 }
 
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -102,6 +102,7 @@
     instant nextPollScanAt; ///< No worker is due for a poll before this time.
     instant nextReviewAt; ///< Next check for unanswered stops and lapsed leases.
     instant nextPruneAt; ///< Next removal of workers that have left.
+    instant nextWaitReportAt; ///< Next report of jobs that wait without a run.
     instant nextAbsenceReportAt; ///< Next report of continuous tasks that do not run.
     /// Stop commands and when each is sent again unless it has been answered. Answered ones may
     /// remain and are skipped.
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -107,13 +107,26 @@
     return {worker.freeResources(), idleMilliCores(worker), !isNearTarget};
 }
 
+// Returns true if the worker has the resources that a task of the step reserves.
+bool hasRoomFor(const step_spec &step, const free_capacity &freeCapacity)
+{
+    resources reserved = step.size;
+    if (step.isBestEffort)
+        reserved.milliCores = 0;
+    return fitsInto(reserved, freeCapacity.unreserved);
+}
+
+bool hasIdleProcessorsFor(const step_spec &step, const free_capacity &freeCapacity)
+{
+    return double(freeCapacity.idleMilliCores) >= double(step.size.milliCores) * minIdleShare;
+}
+
 bool hasCapacityFor(const step_spec &step, const free_capacity &freeCapacity)
 {
-    if (!step.isBestEffort)
-        return fitsInto(step.size, freeCapacity.unreserved);
-    return freeCapacity.acceptsBestEffort
-        && fitsInto({0, step.size.memoryMb, step.size.accelerators}, freeCapacity.unreserved)
-        && double(freeCapacity.idleMilliCores) >= double(step.size.milliCores) * minIdleShare;
+    if (!hasRoomFor(step, freeCapacity))
+        return false;
+    return !step.isBestEffort
+        || (freeCapacity.acceptsBestEffort && hasIdleProcessorsFor(step, freeCapacity));
 }
 
 std::size_t otherImages(const step_spec &step, const worker_record &worker)
@@ -185,6 +198,35 @@
     return step.latencyTargetMs > 0 ? cost + servingCost(state, worker, step.image) : cost;
 }
 
+// Adds the first reason why the worker cannot take the task.
+void countRefusal(const scheduler_state &state, const worker_request &request,
+                  const worker_record &worker, const std::vector<double> &coefficients,
+                  refusal_counts &counts)
+{
+    const step_spec &step = *request.step;
+    const free_capacity freeCapacity = freeCapacityOf(worker);
+    if (!isEligible(state, worker)) {
+        ++counts.notEligible;
+    } else if (!hasRequiredLabel(step, worker)) {
+        ++counts.label;
+    } else if (isAtTaskLimit(request, worker)) {
+        ++counts.taskLimit;
+    } else if (!hasRoomFor(step, freeCapacity)) {
+        ++counts.room;
+    } else if (step.isBestEffort && !freeCapacity.acceptsBestEffort) {
+        ++counts.nearTarget;
+    } else if (step.isBestEffort && !hasIdleProcessorsFor(step, freeCapacity)) {
+        ++counts.idle;
+    } else if (step.isBestEffort) {
+        const double pressure = bestEffortPressure(worker, coefficients, step.size.milliCores);
+        if (pressure <= request.maxPressure)
+            return;
+        const bool isLowest = counts.pressure == 0 || pressure < counts.lowestPressure;
+        counts.lowestPressure = isLowest ? pressure : counts.lowestPressure;
+        ++counts.pressure;
+    }
+}
+
 } // namespace
 
 std::int64_t idleMilliCores(const worker_record &worker)
@@ -225,6 +267,21 @@
     return best;
 }
 
+refusal_counts countRefusals(const scheduler_state &state, const worker_request &request)
+{
+    std::vector<double> coefficients;
+    if (request.step->isBestEffort)
+        coefficients = state.interference.coefficientsOf(request.step->image);
+    refusal_counts counts;
+    for (const auto &[id, worker] : state.workers) {
+        if (worker.info.service != request.service)
+            continue;
+        ++counts.workers;
+        countRefusal(state, request, worker, coefficients, counts);
+    }
+    return counts;
+}
+
 worker_chooser &refreshedChooser(scheduler_state &state)
 {
     if (!state.chooser || state.chooser->isOutdated())
--- a/packages/scheduler/worker_choice.h
+++ b/packages/scheduler/worker_choice.h
@@ -34,6 +34,23 @@
 /// (best fit), so that large gaps remain for large tasks.
 worker_record *chooseWorker(scheduler_state &state, const worker_request &request);
 
+/// How many workers of a service cannot take a task, by the first reason that applies.
+struct refusal_counts
+{
+    int workers = 0; ///< All workers of the service.
+    int notEligible = 0; ///< Silent, leaving, avoided, or not known well enough.
+    int label = 0; ///< Without the required label.
+    int taskLimit = 0; ///< Already run the maximum number of tasks of the step.
+    int room = 0; ///< Without the unreserved resources.
+    int nearTarget = 0; ///< A serving task is too near its latency target for best-effort tasks.
+    int idle = 0; ///< Without enough idle processors for a best-effort task.
+    int pressure = 0; ///< Serving tasks do not tolerate the best-effort task.
+    double lowestPressure = 0; ///< Among the workers in `pressure`; 0 if there are none.
+};
+
+/// Counts why workers cannot take a task. Examines all workers.
+refusal_counts countRefusals(const scheduler_state &state, const worker_request &request);
+
 /// Returns the chooser of the scheduler, created anew or refreshed.
 worker_chooser &refreshedChooser(scheduler_state &state);
 
--- /dev/null
+++ b/test/correctness/scheduler_starvation_test.cpp
@@ -0,0 +1,99 @@
+// Guards against best-effort jobs that could run but never get a worker, because work that is
+// preferred keeps every worker near what its serving tasks tolerate.
+
+#include "correctness/scheduler_interfering_burst.h"
+
+using namespace crocuswind;
+using namespace crocuswind::scheduler;
+
+namespace {
+
+/// The platform asks for jobs without a run this long after the traffic has ended.
+constexpr duration finishLimit = 14s;
+
+/// From then on, a job that could run must not be without a run for this time.
+constexpr duration idleLimit = 3s;
+
+/// A steady overload of tasks that are in time and interfere little, which use more than half of
+/// the processors, and jobs of an image that interferes more than the serving tasks of any worker
+/// tolerate. What runs reserve is 40% of the processors and 15% of the memory.
+struct overloaded_site
+{
+    overloaded_site()
+        : load(6)
+    {
+        load.coefficients["light"] = 0.6;
+        load.world.runTime = [](const task_name &task) {
+            return task.job.value == "s" ? duration(1000s) : duration(2s);
+        };
+    }
+
+    void submit(const std::string &name, const std::string &image, int tasks, int expectedRunMs)
+    {
+        job_spec job = plainJob(name, tasks);
+        job.steps[0].isBestEffort = true;
+        job.steps[0].image = image;
+        job.steps[0].expectedRunMs = expectedRunMs;
+        load.owner.call(job_call_kind::submit, job.name, &job);
+    }
+
+    // Advances time by 100 ms. Every 200 ms, four tasks that are in time are submitted.
+    void step()
+    {
+        if (steps++ % 2 == 0)
+            submit(fmt::format("light-{}", steps), "light", 4, 20000);
+        load.step();
+        for (auto &[name, idle] : idleTime) {
+            idle = hasRun(name) ? duration::zero() : idle + 100ms;
+            longestIdleTime[name] = std::max(longestIdleTime[name], idle);
+        }
+    }
+
+    void run(duration time)
+    {
+        for (duration passed = 0ms; passed < time; passed += 100ms)
+            step();
+    }
+
+    bool hasRun(const std::string &job) const
+    {
+        return std::any_of(
+            load.world.workers.begin(), load.world.workers.end(), [&](const auto &worker) {
+                return std::any_of(worker.second.runs.begin(), worker.second.runs.end(),
+                                   [&](const auto &run) { return run.first.job.value == job; });
+            });
+    }
+
+    // Returns the number of tasks of the load that have ended.
+    std::int64_t lightTasksDone() const
+    {
+        return std::count_if(
+            load.world.done.begin(), load.world.done.end(),
+            [](const task_name &task) { return task.job.value.rfind("light", 0) == 0; });
+    }
+
+    void watch(const std::string &job) { idleTime[job] = duration::zero(); }
+
+    interfering_burst load;
+    int steps = 0;
+    std::map<std::string, duration> idleTime; ///< Of the watched jobs, since their last run.
+    std::map<std::string, duration> longestIdleTime;
+};
+
+} // namespace
+
+// A job of which nothing runs is logged with the reasons why no worker takes it.
+TEST(Starvation, IsLoggedWithTheReasons)
+{
+    overloaded_site site;
+    site.run(10s);
+    site.submit("a", "heavy", 4, 30000);
+    site.run(5s);
+    const auto &waits = site.load.owner.waits;
+    const bool isNamed = std::any_of(waits.begin(), waits.end(), [](const std::string &fields) {
+        return fields.find("job=a ") != std::string::npos
+            && fields.find("workers=6 ") != std::string::npos
+            && fields.find(" room=0 ") != std::string::npos;
+    });
+    EXPECT_TRUE(isNamed);
+}
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -126,6 +126,7 @@
     std::map<call_token, job_reply> replies;
     std::vector<std::string> events; ///< Names of logged events.
     std::vector<std::string> absences; ///< Fields of the logged events `task_absent`.
+    std::vector<std::string> waits; ///< Fields of the logged events `job_waiting`.
 
 private:
     template <class command_type, class executor, class receiver>
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -216,6 +216,8 @@
     events.push_back(event);
     if (event == "task_absent")
         absences.push_back(fields);
+    if (event == "job_waiting")
+        waits.push_back(fields);
 }
 
 inline void fake_host::logDetail(const std::string &event, const std::string &fields)
