--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "task_lifecycle.h"
 #include "worker_choice.h"
 #include "worker_polls.h"
+#include "yielding_runs.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -47,6 +48,18 @@
 /// other work.
 constexpr duration longestInterruption = 2500ms;
 
+/// A job that could run but has no run is starved after this time. The platform counts such a job
+/// as lost once it has been without a run for 3 s, from 14 s after the end of the traffic on.
+constexpr duration longestWaitInTime = 10s;
+constexpr duration longestWaitWhenLate = 2500ms;
+
+/// The share of the starts of a pass that is kept for starved jobs, if there are any, so that they
+/// start even while other work takes all starts.
+constexpr int starvedShareOfStarts = 8;
+
+/// Maximum number of tasks of starved jobs that are started in one pass.
+constexpr int maxStarvedStartsPerPass = 4;
+
 /// Whether a job can still meet its objective, in the order in which steps are dispatched.
 enum class deadline_outlook { interrupted, in_time, continuous, late, expired };
 
@@ -123,6 +136,17 @@
     std::int64_t waiting = 0; ///< Number of waiting tasks of the step.
 };
 
+// Returns true if the step's job could run but has had no run for too long.
+bool isStarved(const scheduler_state &state, const ordered_step &ordered)
+{
+    const job_record &job = *ordered.step.job;
+    if (job.boundRuns > 0)
+        return false;
+    const bool isLate = ordered.rank.outlook >= deadline_outlook::late;
+    const instant since = waitingSince(job, job.occurrences.at(ordered.step.occurrence));
+    return state.now >= since + (isLate ? longestWaitWhenLate : longestWaitInTime);
+}
+
 bool isSameStep(const ready_step &a, const ready_step &b)
 {
     return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
@@ -172,19 +196,54 @@
         m_isUtilisationLow = isUtilisationLow();
         std::int64_t waiting = 0;
         const std::vector<ordered_step> steps = orderSteps(m_state);
+        const std::vector<const ordered_step *> starved = starvedSteps(steps);
+        const int maxStarts = m_maxStarts;
+        if (!starved.empty())
+            m_maxStarts -= std::max(1, m_maxStarts / starvedShareOfStarts);
         for (std::size_t i = 0; i < steps.size(); ++i) {
             const std::int64_t started = startTasks(steps[i]);
             waiting += steps[i].waiting - started;
             m_state.ready[i].hasNoWorker = m_starts < m_maxStarts && started < steps[i].waiting;
         }
-        m_state.counters.tasksWaiting = waiting;
-        return m_starts == m_maxStarts;
+        const bool hasReachedLimit = m_starts >= m_maxStarts;
+        m_maxStarts = maxStarts;
+        m_state.counters.tasksWaiting = waiting - startStarved(starved);
+        if (!hasReachedLimit)
+            endYieldingWherePossible(m_state);
+        return hasReachedLimit;
     }
 
 private:
+    std::vector<const ordered_step *> starvedSteps(const std::vector<ordered_step> &steps) const
+    {
+        std::vector<const ordered_step *> starved;
+        for (const ordered_step &step : steps) {
+            if (isStarved(m_state, step))
+                starved.push_back(&step);
+        }
+        return starved;
+    }
+
+    // Starts one task of each starved job, in order. Best-effort tasks yield to all others. Returns
+    // the number started.
+    std::int64_t startStarved(const std::vector<const ordered_step *> &starved)
+    {
+        const int before = m_starts;
+        const int maxStarts = m_maxStarts;
+        const int last = std::min(maxStarts, m_starts + maxStarvedStartsPerPass);
+        for (const ordered_step *step : starved) {
+            if (step->step.job->boundRuns > 0)
+                continue;
+            m_maxStarts = std::min(m_starts + 1, last);
+            startTasks(*step, true);
+        }
+        m_maxStarts = maxStarts;
+        return m_starts - before;
+    }
+
     // Starts waiting tasks of the step while there is a worker for them. Returns the number
     // started.
-    std::int64_t startTasks(const ordered_step &ordered)
+    std::int64_t startTasks(const ordered_step &ordered, bool areStarved = false)
     {
         const ready_step &ready = ordered.step;
         job_record &job = *ready.job;
@@ -196,6 +255,7 @@
         request.service = job.policy.service;
         request.tasksOfStep = &tasksOfStep;
         request.preferredRack = step.dataRack;
+        request.isYielding = areStarved && step.isBestEffort;
         const bool isLate = m_isUtilisationLow && ordered.rank.outlook >= deadline_outlook::late;
         request.maxPressure = isLate ? maxPressureAtLowUtilisation : maxPressure;
         for (const task_state &task : tasks) {
@@ -210,7 +270,8 @@
             worker_record *worker = m_chooser.choose(request);
             if (worker == nullptr)
                 break;
-            start(job, {job.spec.name, ready.occurrence, ready.step, index}, task, *worker);
+            start(job, {job.spec.name, ready.occurrence, ready.step, index}, task, *worker,
+                  request.isYielding);
             m_chooser.noteStart(*worker);
             recordTask(worker->info.id, request, tasksOfStep);
             ++m_starts;
@@ -245,9 +306,10 @@
         return std::max(task.lastRun, base) + 1;
     }
 
-    void start(job_record &job, const task_name &name, task_state &task, worker_record &worker)
+    void start(job_record &job, const task_name &name, task_state &task, worker_record &worker,
+               bool isYielding)
     {
-        bindRun(m_state, worker, name, task, nextRun(job, task));
+        bindRun(m_state, worker, name, task, nextRun(job, task), isYielding);
         task.phase = task_phase::starting;
         task.runSince = m_state.now;
         ++m_state.counters.starts;
@@ -265,10 +327,10 @@
         m_state.logDetail("start", [&] {
             return fmt::format(
                 "job={} task={} run={} worker={} free_millicores={} filling_millicores={} "
-                "resumes={}",
+                "resumes={} yields={}",
                 name.job.value, toString(name), command.run, worker.info.id.value,
                 worker.freeResources().milliCores, worker.bestEffortMilliCores,
-                !command.checkpoint.empty());
+                !command.checkpoint.empty(), isYielding);
         });
         m_state.ports.start(command);
     }
--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -3,6 +3,7 @@
 #include "discovery_age.h"
 #include "task_lifecycle.h"
 #include "worker_choice.h"
+#include "yielding_runs.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -160,6 +161,12 @@
     bestEffort.pacePercent = percent;
 }
 
+// Returns the pace of a best-effort run on the worker.
+int paceOf(const worker_record &worker, const bound_run &run)
+{
+    return run.isYielding ? yieldingPace(worker) : run.bestEffort->pacePercent;
+}
+
 bool isWorthMoving(const step_spec &step, const task_state &task, int pacePercent)
 {
     if (task.phase != task_phase::running)
@@ -237,7 +244,7 @@
     target_search search(state, worker);
     int moves = 0;
     for (const auto &[name, run] : worker.runs) {
-        if (run.bestEffort == nullptr || moves >= maxMovesPerReport)
+        if (run.bestEffort == nullptr || run.isYielding || moves >= maxMovesPerReport)
             continue;
         const best_effort_image &bestEffort = *run.bestEffort;
         task_state &task = *run.task;
@@ -318,7 +325,7 @@
                 sustainablePace(state.interference, worker, bestEffort));
     for (const auto &[name, run] : worker.runs) {
         if (run.bestEffort != nullptr)
-            sendPace(state, worker, name, *run.task, run.bestEffort->pacePercent);
+            sendPace(state, worker, name, *run.task, paceOf(worker, run));
     }
     moveSlowRuns(state, worker);
 }
@@ -326,9 +333,9 @@
 void onRunConfirmed(scheduler_state &state, const worker_record &worker, const task_name &name,
                     task_state &task)
 {
-    const best_effort_image *bestEffort = worker.runs.at(name).bestEffort;
-    if (bestEffort != nullptr)
-        sendPace(state, worker, name, task, bestEffort->pacePercent);
+    const bound_run &run = worker.runs.at(name);
+    if (run.bestEffort != nullptr)
+        sendPace(state, worker, name, task, paceOf(worker, run));
 }
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/run_binding.cpp
+++ b/packages/scheduler/run_binding.cpp
@@ -1,6 +1,7 @@
 #include "run_binding.h"
 
 #include "pace_control.h"
+#include "yielding_runs.h"
 
 #include <algorithm>
 
@@ -8,23 +9,33 @@
 
 namespace {
 
+// Returns the processors that a best-effort run of the step counts with.
+std::int64_t countedMilliCores(const step_spec &step, bool isYielding)
+{
+    return isYielding ? yieldingMilliCores(step.size.milliCores) : step.size.milliCores;
+}
+
 best_effort_image &addBestEffort(scheduler_state &state, worker_record &worker,
-                                 const step_spec &step)
+                                 const step_spec &step, bool isYielding)
 {
     const auto [found, isNew] = worker.bestEffort.try_emplace(step.image);
     if (isNew)
         found->second.image = state.interference.indexOfBestEffort(step.image);
+    const std::int64_t counted = countedMilliCores(step, isYielding);
     ++found->second.tasks;
-    found->second.wantedMilliCores += step.size.milliCores;
-    worker.bestEffortMilliCores += step.size.milliCores;
+    found->second.wantedMilliCores += counted;
+    found->second.yieldingMilliCores += isYielding ? step.size.milliCores : 0;
+    worker.bestEffortMilliCores += counted;
     return found->second;
 }
 
-void removeBestEffort(worker_record &worker, const step_spec &step)
+void removeBestEffort(worker_record &worker, const step_spec &step, bool isYielding)
 {
     const auto found = worker.bestEffort.find(step.image);
-    worker.bestEffortMilliCores -= step.size.milliCores;
-    found->second.wantedMilliCores -= step.size.milliCores;
+    const std::int64_t counted = countedMilliCores(step, isYielding);
+    worker.bestEffortMilliCores -= counted;
+    found->second.wantedMilliCores -= counted;
+    found->second.yieldingMilliCores -= isYielding ? step.size.milliCores : 0;
     if (--found->second.tasks == 0)
         worker.bestEffort.erase(found);
 }
@@ -59,7 +70,7 @@
 } // namespace
 
 void bindRun(scheduler_state &state, worker_record &worker, const task_name &name, task_state &task,
-             int run)
+             int run, bool isYielding)
 {
     job_record &job = *state.findJob(name.job);
     const step_spec &step = job.spec.steps[std::size_t(name.step)];
@@ -71,8 +82,12 @@
     bound_run &bound = worker.runs[name];
     bound = {run, &job, &step, &task};
     ++job.boundRuns;
-    if (step.isBestEffort)
-        bound.bestEffort = &addBestEffort(state, worker, step);
+    if (step.isBestEffort) {
+        bound.bestEffort = &addBestEffort(state, worker, step, isYielding);
+        bound.isYielding = isYielding;
+    }
+    if (isYielding)
+        state.yieldingTasks.insert(name);
     if (step.latencyTargetMs > 0)
         bound.serving = &addServing(state, worker, step);
     worker.committed = worker.committed + reservedBy(step);
@@ -81,6 +96,20 @@
     state.noteRunsChanged(worker);
 }
 
+void endYielding(scheduler_state &state, worker_record &worker, const task_name &name)
+{
+    bound_run &run = worker.runs.at(name);
+    const std::int64_t added
+        = run.step->size.milliCores - yieldingMilliCores(run.step->size.milliCores);
+    run.isYielding = false;
+    run.bestEffort->yieldingMilliCores -= run.step->size.milliCores;
+    run.bestEffort->wantedMilliCores += added;
+    worker.bestEffortMilliCores += added;
+    state.yieldingTasks.erase(name);
+    updateBudgets(state, worker);
+    state.noteWorkerChanged(worker);
+}
+
 void unbindRun(scheduler_state &state, const task_name &name, task_state &task)
 {
     worker_record &worker = *state.findWorker(task.worker);
@@ -89,9 +118,12 @@
     job_record &job = *bound->second.job;
     if (--job.boundRuns == 0)
         job.idleSince = state.now;
+    const bool isYielding = bound->second.isYielding;
     worker.runs.erase(bound);
+    if (isYielding)
+        state.yieldingTasks.erase(name);
     if (step.isBestEffort)
-        removeBestEffort(worker, step);
+        removeBestEffort(worker, step, isYielding);
     if (step.latencyTargetMs > 0)
         removeServing(worker, step);
     worker.committed = worker.committed - reservedBy(step);
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -148,6 +148,7 @@
         state.jobs.clear();
         state.unstartedJobs.clear();
         state.ready.clear();
+        state.yieldingTasks.clear();
         state.dueOccurrences.clear();
         state.dirtyJobs.clear();
         state.expiringJobs.clear();
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -137,6 +137,7 @@
     std::int64_t startsInFlight = 0; ///< Start commands without a result.
     start_window startWindow;
     std::vector<ready_step> ready; ///< Superset of the steps with waiting tasks.
+    std::set<task_name> yieldingTasks; ///< Tasks whose current run yields to all others.
     std::multimap<instant, std::pair<job_name, int>> dueOccurrences;
 
     scheduler_counters counters;
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -16,9 +16,6 @@
 /// A best-effort task starts only on a worker that has this share of the requested processors idle.
 constexpr double minIdleShare = 1.0;
 
-/// No best-effort task is started beside a serving task above this ratio of latency to target.
-constexpr double maxRatioForBestEffort = 0.9;
-
 /// Above this coefficient, a single best-effort task of usual size exceeds what the serving tasks
 /// tolerate.
 constexpr double blockingCoefficient = 2.5;
@@ -41,6 +38,10 @@
 /// tasks went to any worker whose serving tasks could just tolerate them.
 constexpr double pressureCost = 20000;
 
+/// The cost of a serving task near its latency target, in thousandths of a core. Only tasks whose
+/// runs yield start beside one, and pause if they bring it over its target.
+constexpr double nearTargetCost = 100000;
+
 /// The chooser is built anew after a time, so that it follows what the interference model learns.
 /// The cost of that grows with the fleet, and so does the time.
 constexpr duration chooserLifetimePerWorker = 1ms;
@@ -121,11 +122,12 @@
     return double(freeCapacity.idleMilliCores) >= double(step.size.milliCores) * minIdleShare;
 }
 
-bool hasCapacityFor(const step_spec &step, const free_capacity &freeCapacity)
+bool hasCapacityFor(const worker_request &request, const free_capacity &freeCapacity)
 {
+    const step_spec &step = *request.step;
     if (!hasRoomFor(step, freeCapacity))
         return false;
-    return !step.isBestEffort
+    return !step.isBestEffort || request.isYielding
         || (freeCapacity.acceptsBestEffort && hasIdleProcessorsFor(step, freeCapacity));
 }
 
@@ -181,6 +183,7 @@
         cost += 1e9;
     if (step.isBestEffort)
         return cost - double(freeCapacity.idleMilliCores)
+            + (freeCapacity.acceptsBestEffort ? 0 : nearTargetCost)
             + double(otherImages(step, worker)) * otherImageCost;
     return cost + double(freeCapacity.unreserved.milliCores - step.size.milliCores);
 }
@@ -193,7 +196,8 @@
     const step_spec &step = *request.step;
     if (step.isBestEffort) {
         const double pressure = bestEffortPressure(worker, coefficients, step.size.milliCores);
-        return pressure > request.maxPressure ? infiniteCost : cost + pressure * pressureCost;
+        const bool isTolerated = request.isYielding || pressure <= request.maxPressure;
+        return isTolerated ? cost + pressure * pressureCost : infiniteCost;
     }
     return step.latencyTargetMs > 0 ? cost + servingCost(state, worker, step.image) : cost;
 }
@@ -252,7 +256,7 @@
         if (!isEligible(state, worker) || worker.info.service != request.service)
             continue;
         const free_capacity freeCapacity = freeCapacityOf(worker);
-        if (!hasCapacityFor(step, freeCapacity) || !hasRequiredLabel(step, worker)
+        if (!hasCapacityFor(request, freeCapacity) || !hasRequiredLabel(step, worker)
             || isAtTaskLimit(request, worker))
             continue;
         const double lowerBound = lowerBoundCost(request, worker, freeCapacity);
@@ -384,7 +388,8 @@
     key.size = step.size;
     key.isBestEffort = step.isBestEffort;
     key.isServing = !step.isBestEffort && step.latencyTargetMs > 0;
-    if (step.isBestEffort)
+    key.isYielding = request.isYielding;
+    if (step.isBestEffort && !request.isYielding)
         key.maxPressure = request.maxPressure;
     if (key.isBestEffort || key.isServing)
         key.image = step.image;
@@ -402,7 +407,8 @@
         pool.unplaceable.begin(), pool.unplaceable.end(), [&](const kind_key &missed) {
             return missed.requiredLabel.empty() && missed.isBestEffort == key.isBestEffort
                 && (!key.isBestEffort
-                    || (missed.image == key.image && missed.maxPressure >= key.maxPressure))
+                    || (missed.image == key.image && missed.isYielding == key.isYielding
+                        && missed.maxPressure >= key.maxPressure))
                 && fitsInto(missed.size, key.size);
         });
 }
@@ -447,7 +453,7 @@
     const eligible_worker &eligible = pool.workers[std::size_t(worker)];
     if (!eligible.isEligible)
         return;
-    if (!hasCapacityFor(*request.step, eligible.freeCapacity)
+    if (!hasCapacityFor(request, eligible.freeCapacity)
         || !hasRequiredLabel(*request.step, *eligible.record))
         return;
     kind.heap.push_back({lowerBoundCost(request, *eligible.record, eligible.freeCapacity), worker,
--- a/packages/scheduler/worker_choice.h
+++ b/packages/scheduler/worker_choice.h
@@ -13,6 +13,10 @@
 
 namespace crocuswind::scheduler {
 
+/// No best-effort task is started beside a serving task above this ratio of latency to target,
+/// unless it yields.
+constexpr double maxRatioForBestEffort = 0.9;
+
 /// The requirements and preferences of a task for its worker.
 struct worker_request
 {
@@ -22,6 +26,9 @@
     rack_id preferredRack; ///< Rack of the data or the step's other tasks; empty if none.
     double maxPressure
         = 1; ///< Highest allowed pressure on serving tasks, see bestEffortPressure().
+    /// The task is best effort and its run will yield, see yielding_runs.h. It starts on any worker
+    /// with room, if possible where it hurts least.
+    bool isYielding = false;
 };
 
 /// Returns the processors, in thousandths of a core, that one more best-effort task can expect to
@@ -95,6 +102,7 @@
         bool isBestEffort = false;
         bool isServing = false;
         double maxPressure = 0;
+        bool isYielding = false;
         std::string_view image; ///< Empty if the image does not affect the cost.
         std::string_view requiredLabel;
         std::string_view preferredRack;
@@ -103,7 +111,7 @@
         {
             const auto tied = [](const kind_key &k) {
                 return std::tie(k.size.milliCores, k.size.memoryMb, k.size.accelerators,
-                                k.isBestEffort, k.isServing, k.maxPressure, k.image,
+                                k.isBestEffort, k.isServing, k.maxPressure, k.isYielding, k.image,
                                 k.requiredLabel, k.preferredRack);
             };
             return tied(a) < tied(b);
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -171,7 +171,8 @@
     int tasks = 0;
     std::int64_t wantedMilliCores = 0; ///< Processors that they would use at full pace.
     double usedShare = 0; ///< Share of the worker's processors in use, as last reported.
-    int pacePercent = 100;
+    std::int64_t yieldingMilliCores = 0; ///< Processors that its yielding runs would use.
+    int pacePercent = 100; ///< Of the runs that do not yield.
     instant slowSince; ///< Since when the pace is low. Meaningful only while it is low.
 };
 
@@ -208,6 +209,7 @@
     const step_spec *step = nullptr;
     task_state *task = nullptr;
     best_effort_image *bestEffort = nullptr; ///< Null if the step is not best effort.
+    bool isYielding = false; ///< Yields to all other runs, see yielding_runs.h.
     serving_image *serving = nullptr; ///< Null if the step has no latency target.
     std::uint64_t lastSeenPoll = 0; ///< Number of the last poll whose report contained the run.
 };
--- a/test/correctness/scheduler_starvation_test.cpp
+++ b/test/correctness/scheduler_starvation_test.cpp
@@ -82,6 +82,68 @@
 
 } // namespace
 
+TEST(Starvation, AJobPastItsObjectiveIsNeverIdleForLong)
+{
+    overloaded_site site;
+    site.run(10s);
+    for (const std::string name : {"a", "b", "c"}) {
+        site.submit(name, "heavy", 4, 10);
+        site.watch(name);
+    }
+    site.run(20s);
+    for (const std::string name : {"a", "b", "c"})
+        EXPECT_LT(toMs(site.longestIdleTime[name]), toMs(idleLimit)) << name;
+}
+
+TEST(Starvation, AJobThatIsInTimeStartsInBoundedTime)
+{
+    overloaded_site site;
+    site.run(10s);
+    site.submit("a", "heavy", 4, 30000);
+    site.watch("a");
+    site.run(20s);
+    EXPECT_LT(toMs(site.longestIdleTime["a"]), toMs(finishLimit));
+}
+
+// The bound must not cost the work that is in time, nor the serving tasks, which step() checks.
+TEST(Starvation, WorkThatIsInTimeLosesNothingToStarvedJobs)
+{
+    overloaded_site site;
+    overloaded_site undisturbed;
+    site.run(10s);
+    undisturbed.run(10s);
+    for (int i = 0; i < 6; ++i)
+        site.submit(fmt::format("h{}", i), "heavy", 4, 10);
+    site.run(20s);
+    undisturbed.run(20s);
+    EXPECT_GE(double(site.lightTasksDone()), 0.97 * double(undisturbed.lightTasksDone()));
+}
+
+// An owner that is replaced while runs yield and owns the jobs again later knew tasks of its former
+// ownership, which ended the process.
+TEST(Starvation, YieldingRunsOfAFormerOwnershipAreForgotten)
+{
+    overloaded_site site;
+    scheduler_world &world = site.load.world;
+    fake_host &first = site.load.owner;
+    site.run(5s);
+    for (int i = 0; i < 3; ++i)
+        site.submit(fmt::format("h{}", i), "heavy", 4, 10);
+    site.run(4s);
+    EXPECT_TRUE(site.hasRun("h0"));
+    fake_host &second = world.addHost("host-2");
+    world.takeOver(second);
+    first.core.giveUp(world.now);
+    for (int i = 0; i < 3; ++i)
+        second.call(job_call_kind::cancel, {fmt::format("h{}", i)});
+    world.run(5s);
+    second.core.giveUp(world.now);
+    world.takeOver(first);
+    site.run(5s);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+    EXPECT_GT(site.lightTasksDone(), 0);
+}
+
 // A job of which nothing runs is logged with the reasons why no worker takes it.
 TEST(Starvation, IsLoggedWithTheReasons)
 {
--- a/test/correctness/scheduler_worker_choice_test.cpp
+++ b/test/correctness/scheduler_worker_choice_test.cpp
@@ -107,6 +107,7 @@
         request.tasksOfStep = &tasksOfStep;
         request.preferredRack = request.step->dataRack;
         request.maxPressure = random.below(2) == 0 ? 1 : 4;
+        request.isYielding = request.step->isBestEffort && random.below(3) == 0;
         for (int index = 0; index < request.step->count; ++index) {
             worker_record *const expected = chooseWorker(state, request);
             worker_record *const chosen = chooser.choose(request);
@@ -115,7 +116,7 @@
             if (chosen == nullptr)
                 return;
             const task_name name{job.spec.name, 0, 0, index};
-            bindRun(state, *chosen, name, *job.find(name), 1);
+            bindRun(state, *chosen, name, *job.find(name), 1, request.isYielding);
             chooser.noteStart(*chosen);
             ++tasksOfStep[chosen->info.id];
         }
