--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -39,7 +39,7 @@
 constexpr double pressureCost = 20000;
 
 /// The cost of a serving task near its latency target, in thousandths of a core. Only tasks whose
-/// runs yield start beside one, and pause if they bring it over its target.
+/// runs yield start beside one, and they pause until it is no longer near.
 constexpr double nearTargetCost = 100000;
 
 /// The chooser is built anew after a time, so that it follows what the interference model learns.
--- a/packages/scheduler/yielding_runs.cpp
+++ b/packages/scheduler/yielding_runs.cpp
@@ -13,9 +13,6 @@
 /// The pace of a yielding run. Its neighbours, which count it with this pace, hardly notice it.
 constexpr int lowPacePercent = 10;
 
-/// Above this ratio of latency to target of a serving task, the yielding runs beside it pause.
-constexpr double pauseRatio = 1.0;
-
 double highestLatencyRatio(const worker_record &worker)
 {
     double highest = 0;
@@ -44,7 +41,7 @@
 
 int yieldingPace(const worker_record &worker)
 {
-    return highestLatencyRatio(worker) > pauseRatio ? 0 : lowPacePercent;
+    return highestLatencyRatio(worker) > maxRatioForBestEffort ? 0 : lowPacePercent;
 }
 
 void endYieldingWherePossible(scheduler_state &state)
--- a/packages/scheduler/yielding_runs.h
+++ b/packages/scheduler/yielding_runs.h
@@ -1,6 +1,6 @@
 /// Defines how best-effort runs yield to all other runs on their worker. A job that has waited too
 /// long starts a task that way: any worker with room takes it, whatever its image, because it runs
-/// at a low pace and pauses while a serving task beside it is over its latency target. Private to
+/// at a low pace and pauses while a serving task beside it is near its latency target. Private to
 /// the package.
 #ifndef CROCUSWIND_SCHEDULER_YIELDING_RUNS_H
 #define CROCUSWIND_SCHEDULER_YIELDING_RUNS_H
