--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -151,6 +151,7 @@
         state.dirtyJobs.clear();
         state.expiringJobs.clear();
         state.unreportedWorkers.clear();
+        state.formerList = {};
         state.stopsToResend.clear();
         state.isWorkerListDirty = false;
         state.leavingDue.clear();
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -2,6 +2,7 @@
 #ifndef CROCUSWIND_SCHEDULER_SCHEDULER_STATE_H
 #define CROCUSWIND_SCHEDULER_SCHEDULER_STATE_H
 
+#include "former_list.h"
 #include "interference_model.h"
 #include "scheduler_core.h"
 #include "start_window.h"
@@ -95,6 +96,7 @@
     instant workersAsOf; ///< All changes that service discovery accepted before it are known.
     bool areStartsHeld = false; ///< No task is started because the list of workers is too old.
     unreported_workers unreportedWorkers;
+    former_list formerList; ///< As this owner found it in the store.
 
     /// Times of polls with their workers, the earliest first. An entry counts only if it is the
     /// worker's present `nextPollAt`.
--- a/packages/scheduler/silent_workers.cpp
+++ b/packages/scheduler/silent_workers.cpp
@@ -21,6 +21,22 @@
 /// than a poll waits at the worker.
 constexpr duration longestReportAge = 1500ms;
 
+/// A list has at most this many witnesses. The reader needs to hear of one of them.
+constexpr std::size_t maxWitnesses = 8;
+
+// Returns true if only earlier owners can have granted the worker a lease that still lasts.
+bool isLeaseInherited(const scheduler_state &state, const worker_record &worker)
+{
+    return state.unreportedWorkers.contains(worker.info.id) && !worker.lease.isGranted()
+        && worker.lastLeaseEpoch < state.epoch;
+}
+
+// Returns the lease as this owner found it in the store, or null if that may be outdated.
+const silent_lease *inheritedLeaseOf(const scheduler_state &state, const worker_record &worker)
+{
+    return isLeaseInherited(state, worker) ? state.formerList.find(worker.info.id) : nullptr;
+}
+
 silent_lease silentLeaseOf(const scheduler_state &state, const worker_record &worker)
 {
     const duration timeLeft = std::max(worker.lease.lapsesBy() - state.now, duration::zero());
@@ -39,6 +55,47 @@
     return state.isHandingOver || (areFew && state.now - state.tookOverAt >= longestFirstReport);
 }
 
+bool canBeWitness(const worker_record &worker)
+{
+    return worker.hasReported && worker.failedPolls == 0 && worker.isListed
+        && !worker.info.isDraining && worker.incarnationStartUnixMs != 0
+        && worker.info.id.value.find_first_of(" \n") == std::string::npos;
+}
+
+// Returns witnesses of the present time from all over the fleet.
+std::vector<clock_witness> chooseWitnesses(const scheduler_state &state)
+{
+    std::vector<clock_witness> all;
+    for (const auto &[id, worker] : state.workers) {
+        const auto clock = worker.clockCeiling.at(state.now);
+        if (clock && canBeWitness(worker))
+            all.push_back({id, worker.incarnationStartUnixMs, *clock});
+    }
+    if (all.size() <= maxWitnesses)
+        return all;
+    std::vector<clock_witness> chosen;
+    for (std::size_t i = 0; i < maxWitnesses; ++i)
+        chosen.push_back(std::move(all[i * all.size() / maxWitnesses]));
+    return chosen;
+}
+
+// An owner that has not heard from a witness cannot tell how old the list is that it found. Returns
+// true if it is to store what that list says unchanged, so that a later owner can tell.
+bool isCarriedOn(const scheduler_state &state)
+{
+    return state.formerList.isUndated()
+        && std::all_of(state.workers.begin(), state.workers.end(), [&](const auto &entry) {
+               return !isSilent(state, entry.second)
+                   || inheritedLeaseOf(state, entry.second) != nullptr;
+           });
+}
+
+owner_moment presentMoment(const scheduler_state &state)
+{
+    const auto clock = state.now.time_since_epoch();
+    return {state.epoch, std::chrono::duration_cast<std::chrono::milliseconds>(clock).count()};
+}
+
 // Returns true if the stored list has to change because of the worker.
 bool needsStoring(const scheduler_state &state, const worker_record &worker)
 {
@@ -74,25 +131,27 @@
 worker_list takeWorkerList(scheduler_state &state)
 {
     worker_list list;
-    list.writtenAt = owner_moment{
-        state.epoch,
-        std::chrono::duration_cast<std::chrono::milliseconds>(state.now.time_since_epoch())
-            .count()};
+    const bool isCarried = isCarriedOn(state);
+    list.writtenAt = isCarried ? state.formerList.writtenAt() : presentMoment(state);
     for (auto &[id, worker] : state.workers) {
         list.workers.push_back({id, worker.info.address});
         if (!isSilent(state, worker))
             continue;
-        list.silent.push_back(silentLeaseOf(state, worker));
+        list.silent.push_back(isCarried ? *inheritedLeaseOf(state, worker)
+                                        : silentLeaseOf(state, worker));
         if (!std::exchange(worker.isStoredAsSilent, true))
             state.noteWorkerChanged(worker);
     }
     state.nextSilentListAt = state.now + silentListInterval;
-    if (!list.silent.empty())
-        state.ports.log(
-            "silent_workers_stored",
-            fmt::format("silent={} workers={} first={} last_lease_epoch={} time_left_ms={}",
-                        list.silent.size(), list.workers.size(), list.silent.front().worker.value,
-                        list.silent.front().lastEpoch, list.silent.front().timeLeftMs));
+    if (list.silent.empty())
+        return list;
+    list.witnesses = isCarried ? state.formerList.witnesses() : chooseWitnesses(state);
+    state.ports.log("silent_workers_stored",
+                    fmt::format("silent={} workers={} first={} last_lease_epoch={} time_left_ms={} "
+                                "witnesses={} is_carried_on={}",
+                                list.silent.size(), list.workers.size(),
+                                list.silent.front().worker.value, list.silent.front().lastEpoch,
+                                list.silent.front().timeLeftMs, list.witnesses.size(), isCarried));
     return list;
 }
 
@@ -133,14 +192,37 @@
     const instant writtenBy = list.writtenAt
         ? std::min(state.now, authority.latestTimeOf(*list.writtenAt).value_or(state.now))
         : state.now;
+    state.formerList = former_list(list, writtenBy);
     for (const silent_lease &lease : list.silent) {
         worker_record *worker = state.findWorker(lease.worker);
         if (worker == nullptr)
             continue;
         worker->isStoredAsSilent = true;
         worker->lastLeaseEpoch = std::min(lease.lastEpoch, lastLeaseEpoch);
-        const instant lapsesBy = writtenBy + std::chrono::milliseconds(lease.timeLeftMs);
-        worker->lease.limitLapse(std::min(authority.endOf(worker->lastLeaseEpoch), lapsesBy));
+        worker->lease.limitLapse(
+            std::min(authority.endOf(worker->lastLeaseEpoch), state.formerList.lapseOf(lease)));
+    }
+}
+
+void limitInheritedLeases(scheduler_state &state, const worker_record &witness,
+                          std::int64_t clockMs)
+{
+    const bool wasUndated = state.formerList.isUndated();
+    if (!state.formerList.noteClock(witness.info.id, witness.incarnationStartUnixMs, clockMs,
+                                    state.now))
+        return;
+    if (wasUndated) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+            state.now - state.formerList.writtenBy());
+        state.ports.log("former_list_dated",
+                        fmt::format("witness={} silent={} age_ms={}", witness.info.id.value,
+                                    state.formerList.silent().size(), age.count()));
+    }
+    for (const auto &[id, lease] : state.formerList.silent()) {
+        worker_record *worker = state.findWorker(id);
+        if (worker != nullptr && isLeaseInherited(state, *worker))
+            worker->lease.limitLapse(
+                std::min(worker->lease.lapsesBy(), state.formerList.lapseOf(lease)));
     }
 }
 
--- a/packages/scheduler/silent_workers.h
+++ b/packages/scheduler/silent_workers.h
@@ -28,6 +28,11 @@
 void restoreWorkers(scheduler_state &state, const worker_list &list,
                     const earlier_authority &authority);
 
+/// A witness of the list that this owner found has reported this reading of its clock. Bounds the
+/// leases of the workers that the list names as silent.
+void limitInheritedLeases(scheduler_state &state, const worker_record &witness,
+                          std::int64_t clockMs);
+
 } // namespace crocuswind::scheduler
 
 #endif
--- a/packages/scheduler/worker_list.cpp
+++ b/packages/scheduler/worker_list.cpp
@@ -39,11 +39,31 @@
     return moment;
 }
 
+// Parses a line ` incarnation/milliseconds/id`.
+std::optional<clock_witness> parseWitness(std::string_view line)
+{
+    clock_witness witness;
+    const char *const end = line.data() + line.size();
+    const auto start = std::from_chars(line.data() + 1, end, witness.incarnationStartUnixMs);
+    if (start.ec != std::errc() || start.ptr == end || *start.ptr != '/')
+        return std::nullopt;
+    const auto clock = std::from_chars(start.ptr + 1, end, witness.clockMs);
+    if (clock.ec != std::errc() || clock.ptr == end || *clock.ptr != '/')
+        return std::nullopt;
+    witness.worker.value.assign(clock.ptr + 1, end);
+    if (witness.worker.empty() || witness.incarnationStartUnixMs <= 0 || witness.clockMs < 0)
+        return std::nullopt;
+    return witness;
+}
+
 } // namespace
 
 std::string toText(const worker_list &list)
 {
     std::string text;
+    for (const clock_witness &witness : list.witnesses)
+        text += ' ' + std::to_string(witness.incarnationStartUnixMs) + '/'
+            + std::to_string(witness.clockMs) + '/' + witness.worker.value + '\n';
     if (list.writtenAt)
         text += ' ' + std::to_string(list.writtenAt->epoch) + '/'
             + std::to_string(list.writtenAt->clockMs) + '\n';
@@ -64,7 +84,10 @@
         const std::string_view line = text.substr(begin, end - begin);
         begin = end + 1;
         if (!line.empty() && line.front() == ' ') {
-            list.writtenAt = parseWrittenAt(line);
+            if (auto witness = parseWitness(line))
+                list.witnesses.push_back(std::move(*witness));
+            else
+                list.writtenAt = parseWrittenAt(line);
             continue;
         }
         const std::size_t space = std::min(line.rfind(' '), line.size());
--- a/packages/scheduler/worker_list.h
+++ b/packages/scheduler/worker_list.h
@@ -43,27 +43,46 @@
     }
 };
 
+/// The highest reading that a worker's clock can have had when a list was written. A reader that
+/// learns of a later reading knows for how long the list has existed at least.
+struct clock_witness
+{
+    worker_id worker;
+    std::int64_t incarnationStartUnixMs = 0; ///< The incarnation whose clock it is.
+    std::int64_t clockMs = 0;
+
+    friend bool operator==(const clock_witness &a, const clock_witness &b)
+    {
+        return a.worker == b.worker && a.incarnationStartUnixMs == b.incarnationStartUnixMs
+            && a.clockMs == b.clockMs;
+    }
+};
+
 /// The workers of an owner, and the leases of those that are silent.
 struct worker_list
 {
     std::vector<stored_worker> workers;
     std::vector<silent_lease> silent;
     std::optional<owner_moment> writtenAt; ///< Absent in lists of earlier builds.
+    std::vector<clock_witness> witnesses; ///< Of when it was written; none without silent leases.
 
     friend bool operator==(const worker_list &a, const worker_list &b)
     {
-        return a.workers == b.workers && a.silent == b.silent && a.writtenAt == b.writtenAt;
+        return a.workers == b.workers && a.silent == b.silent && a.writtenAt == b.writtenAt
+            && a.witnesses == b.witnesses;
     }
 };
 
-/// Formats when the list was written as a line ` epoch/milliseconds`, which earlier builds skip,
-/// and one worker a line, `id address`. The silent leases follow the last line end, each as `id
-/// epoch milliseconds `: builds still earlier ignore that part.
+/// Formats the witnesses as lines ` incarnation/milliseconds/id`, when the list was written as a
+/// line ` epoch/milliseconds`, and one worker a line, `id address`. Earlier builds skip the lines
+/// that begin with a space, and take the last of them for the time of writing. The silent leases
+/// follow the last line end, each as `id epoch milliseconds `: builds still earlier ignore that
+/// part.
 std::string toText(const worker_list &list);
 
 /// Parses the output of toText(). Lines without a worker are skipped. If the part on silent leases
 /// is malformed it counts as empty, so that the longest possible leases are assumed; a malformed
-/// time counts as absent.
+/// time or witness counts as absent.
 worker_list parseWorkerList(std::string_view text);
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/worker_polls.cpp
+++ b/packages/scheduler/worker_polls.cpp
@@ -88,6 +88,7 @@
     if (mayWait)
         command.waitMs = pollWaitOf(state, worker);
     worker.isPollInFlight = true;
+    worker.pollSentAt = state.now;
     ++state.counters.polls;
     state.ports.poll(command);
 }
--- a/packages/scheduler/worker_record.cpp
+++ b/packages/scheduler/worker_record.cpp
@@ -18,6 +18,14 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
 }
 
+// Returns the highest reading of a clock that read \p clockMs at most \p passed ago. A reading is
+// whole milliseconds, rounded down.
+std::int64_t ceilingOf(std::int64_t clockMs, duration passed)
+{
+    const std::chrono::duration<double, std::milli> passedMs = passed;
+    return clockMs + 1 + std::int64_t(std::ceil(passedMs.count() * (1 + maxClockRateDifference)));
+}
+
 } // namespace
 
 void worker_lease::recordClock(std::int64_t clockMs, instant now)
@@ -60,6 +68,21 @@
     return double(clockMs + clockResetToleranceMs) < double(m_reading->clockMs) + passed;
 }
 
+void clock_ceiling::record(std::int64_t clockMs, instant sentAt, instant now)
+{
+    const auto known = at(now);
+    const reading next{clockMs, sentAt};
+    if (!known || ceilingOf(next.clockMs, now - next.sentAt) <= *known)
+        m_reading = next;
+}
+
+std::optional<std::int64_t> clock_ceiling::at(instant now) const
+{
+    if (!m_reading)
+        return std::nullopt;
+    return ceilingOf(m_reading->clockMs, now - m_reading->sentAt);
+}
+
 bool completion_cursor::accept(std::int64_t number, const task_name &task)
 {
     if (number <= m_highest)
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSWIND_SCHEDULER_WORKER_RECORD_H
 #define CROCUSWIND_SCHEDULER_WORKER_RECORD_H
 
+#include "earlier_authority.h"
 #include "job_model.h"
 
 #include <cstdint>
@@ -137,6 +138,26 @@
     std::optional<instant> m_inheritedUntil;
 };
 
+/// Bounds the reading of a worker's clock from above.
+class clock_ceiling
+{
+public:
+    /// The clock read \p clockMs at some time from \p sentAt to \p now.
+    void record(std::int64_t clockMs, instant sentAt, instant now);
+
+    /// Returns the highest reading that the clock can have at \p now, or nothing if it was never
+    /// read. The clock is faster than the owner's by maxClockRateDifference at most.
+    std::optional<std::int64_t> at(instant now) const;
+
+private:
+    struct reading
+    {
+        std::int64_t clockMs = 0;
+        instant sentAt;
+    };
+    std::optional<reading> m_reading; ///< The one with the lowest ceiling.
+};
+
 /// Tracks which completions of a worker are durable, so that the worker may forget them.
 class completion_cursor
 {
@@ -226,6 +247,7 @@
     bool hasReported = false;
     instant firstReportAt; ///< Time of the first such report.
     worker_lease lease;
+    clock_ceiling clockCeiling;
     /// The last epoch that may have granted the worker a lease, apart from what `lease` knows.
     std::int64_t lastLeaseEpoch = 0;
     /// The stored list of workers may name the worker as silent. It gets no lease and no task,
@@ -252,6 +274,7 @@
     // Polls.
     std::uint64_t lastPoll = 0;
     bool isPollInFlight = false; ///< A poll is in flight.
+    instant pollSentAt; ///< When the last poll was sent.
     instant nextPollAt;
     instant lastReportAt;
     int failedPolls = 0; ///< Polls without an answer since the last report.
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -140,6 +140,8 @@
         restartWorker(state, worker, report.incarnationStartUnixMs);
     worker.incarnationStartUnixMs = report.incarnationStartUnixMs;
     worker.lease.recordClock(report.clockMs, state.now);
+    worker.clockCeiling.record(report.clockMs, worker.pollSentAt, state.now);
+    limitInheritedLeases(state, worker, report.clockMs);
     if (!isNewIncarnation)
         worker.ackedCompletions = std::max(worker.ackedCompletions, command.ackedCompletions);
     for (const completion_report &completion : report.completedRuns)
@@ -255,6 +257,7 @@
     // commands meant for the former one, and their leases may then last up to `longestLease`.
     worker.completions = completion_cursor();
     worker.lease = worker_lease();
+    worker.clockCeiling = clock_ceiling();
     worker.lease.limitLapse(state.now + state.settings.longestLease);
     worker.lastLeaseEpoch = state.epoch;
     worker.ackedCompletions = 0;
--- a/test/error/scheduler_worker_list_test.cpp
+++ b/test/error/scheduler_worker_list_test.cpp
@@ -12,13 +12,21 @@
 namespace {
 
 const worker_list sample{
-    {{{"w0"}, "10.0.0.1:80"}, {{"w1"}, ""}}, {{{"w1"}, 7, 5200}}, owner_moment{8, 123456}};
+    {{{"w0"}, "10.0.0.1:80"}, {{"w1"}, ""}}, {{{"w1"}, 7, 5200}}, owner_moment{8, 123456}, {}};
+
+worker_list withWitnesses()
+{
+    worker_list list = sample;
+    list.witnesses = {{{"w0"}, 1700000000123, 4711}, {{"w/2"}, 1700000000124, 3}};
+    return list;
+}
 
 } // namespace
 
 TEST(WorkerList, IsReadAsWritten)
 {
     EXPECT_EQ(parseWorkerList(toText(sample)), sample);
+    EXPECT_EQ(parseWorkerList(toText(withWitnesses())), withWitnesses());
     EXPECT_EQ(parseWorkerList(""), worker_list());
     worker_list ofEarlierBuild = sample;
     ofEarlierBuild.writtenAt.reset();
@@ -34,6 +42,26 @@
     }
 }
 
+TEST(WorkerList, HasNoWitnessThatCannotBeRead)
+{
+    for (const char *bad :
+         {" 1/", " 1/2/", " 1//w", " /2/w", " x/2/w", " 0/2/w", " 1/x/w", " -1/2/w", " 1/-2/w",
+          " 99999999999999999999/2/w", " 1/99999999999999999999/w"}) {
+        const worker_list list = parseWorkerList(std::string(bad) + "\n 8/5\nw0 a\n");
+        EXPECT_TRUE(list.witnesses.empty()) << bad;
+        EXPECT_EQ(list.writtenAt, (owner_moment{8, 5})) << bad;
+        EXPECT_EQ(list.workers.size(), 1U) << bad;
+    }
+}
+
+// Earlier builds take the last line that begins with a space for the time of writing.
+TEST(WorkerList, HasTheTimeOfWritingAfterTheWitnesses)
+{
+    const std::string text = toText(withWitnesses());
+    EXPECT_EQ(text.substr(0, text.find("w0 10")),
+              " 1700000000123/4711/w0\n 1700000000124/3/w/2\n 8/123456\n");
+}
+
 // A host of an earlier build reads the lines and ignores what follows the last one.
 TEST(WorkerList, KeepsSilentLeasesOutOfTheLines)
 {
--- a/test/failure/scheduler_silent_lease_test.cpp
+++ b/test/failure/scheduler_silent_lease_test.cpp
@@ -55,6 +55,20 @@
         world.takeOver(next);
     }
 
+    // Stops the owner as planned. Another host is elected that never serves; the one that is
+    // returned starts after that, so that it sees nothing of the former owner.
+    fake_host &startAfterUnservedElection(fake_host &owner)
+    {
+        while (!owner.core.prepareHandover(world.now))
+            world.run(10ms);
+        owner.core.giveUp(world.now);
+        owner.isDead = true;
+        world.run(300ms);
+        world.elect();
+        world.run(200ms);
+        return world.addHost(fmt::format("late-{}", world.hosts.size()));
+    }
+
     job_spec spec;
     fake_host &third;
     fake_host &fourth;
@@ -211,6 +225,74 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// Hosts that had not seen the clock of the owner that wrote the list counted the lease from their
+// own read, so that the time without an owner was added with each change.
+TEST_F(silent_lease_test, IsAwaitedOnceByOwnersThatHaveJustStarted)
+{
+    loseWorker();
+    runUntil(300ms);
+    fake_host *owner = &first;
+    for (int i = 0; i < 8; ++i) {
+        fake_host &next = startAfterUnservedElection(*owner);
+        world.takeOver(next);
+        world.run(50ms);
+        owner = &next;
+    }
+    runUntil(longestAbsence);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// The same, if each of the owners is killed before it has heard from any worker.
+TEST_F(silent_lease_test, IsAwaitedOnceByOwnersThatAreKilledBeforeTheyHearOfAnyWorker)
+{
+    loseWorker();
+    runUntil(2500ms);
+    ASSERT_NE(world.store.at("cw/workers").back(), '\n');
+    fake_host *owner = &first;
+    for (int i = 0; i < 4; ++i) {
+        owner->isDead = true;
+        world.run(500ms);
+        world.elect();
+        world.run(500ms);
+        owner = &world.addHost(fmt::format("late-{}", i));
+        for (const auto &[id, worker] : world.workers)
+            owner->unreachableWorkers.insert(id);
+        world.takeOver(*owner);
+        world.run(50ms);
+    }
+    owner->isDead = true;
+    world.takeOver(world.addHost("late"));
+    runUntil(longestAbsence);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// All workers whose clocks could date the list that the second owner found have restarted. What it
+// says of a worker that has answered since must not be passed on.
+TEST_F(silent_lease_test, IsNotTakenFromAnOlderListOnceTheWorkerHasAnswered)
+{
+    fake_worker &worker = firstBusyWorker();
+    first.unreachableWorkers = {worker.info.id};
+    world.run(3s);
+    ASSERT_NE(world.store.at("cw/workers").back(), '\n');
+    for (auto &[id, other] : world.workers) {
+        if (id != worker.info.id)
+            world.restartWorker(other);
+    }
+    replace(first, second);
+    world.run(2s);
+    ASSERT_EQ(world.store.at("cw/workers").back(), '\n');
+    second.unreachableWorkers = {worker.info.id};
+    third.unreachableWorkers = {worker.info.id};
+    world.run(2200ms);
+    ASSERT_NE(world.store.at("cw/workers").back(), '\n');
+    replace(second, third);
+    world.run(12s);
+    EXPECT_EQ(runCount(spec), 8U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 // A poll that waits at a lost worker fails late, so one failed poll has to be enough.
 TEST_F(silent_lease_test, IsStoredTwoSecondsAfterTheLoss)
 {
@@ -434,3 +516,72 @@
         EXPECT_EQ(world.violations, std::vector<std::string>()) << "seed " << seed;
     }
 }
+
+namespace {
+
+// Ends the worker's process, which is back under the same id as soon as it can be.
+void crashWorker(scheduler_world &world, fake_worker &worker)
+{
+    if (!worker.isUp)
+        return;
+    worker.runs.clear();
+    worker.isUp = false;
+    worker.refusesConnections = true;
+    world.at(world.now + sameIncarnationLimit + 1ms, [&] { world.restartWorker(worker); });
+}
+
+} // namespace
+
+// Owners that have just started date what they read by the clocks of workers, which are slow,
+// restart and lose commands. No task may run twice at the same time.
+TEST(SilentLease, LateReadersDuplicateNoRun)
+{
+    for (int seed = 1; seed <= seedCount(); ++seed) {
+        scheduler_world world(std::uint64_t(seed) + 44000);
+        world.delayedCommandRate = 0.02;
+        world.lostResponseRate = 0.05;
+        world.runTime = [](const task_name &) { return 1000s; };
+        for (int i = 0; i < 6; ++i) {
+            fake_worker &worker = world.addWorker(fmt::format("w{}", i), "r", {4000, 8000, 0});
+            worker.clockRate = 1 - maxClockSlowness * world.random.fraction();
+        }
+        fake_host *owner = &world.addHost("host");
+        world.takeOver(*owner);
+        world.run(200ms);
+        job_spec spec = plainJob("a", 12);
+        spec.steps[0].isContinuous = true;
+        owner->call(job_call_kind::submit, spec.name, &spec);
+        world.run(1s);
+        const worker_id cutOff{fmt::format("w{}", world.random.below(6))};
+        for (int step = 0; step < 40; ++step) {
+            const bool isCutOff = step % 10 < 7; // From all owners, while it runs on.
+            for (const auto &host : world.hosts) {
+                host->unreachableWorkers.clear();
+                if (isCutOff)
+                    host->unreachableWorkers = {cutOff};
+                const worker_id other{fmt::format("w{}", world.random.below(6))};
+                if (world.random.below(3) == 0)
+                    host->unreachableWorkers.insert(other);
+            }
+            if (world.random.below(12) == 0)
+                crashWorker(world, world.workers.at({fmt::format("w{}", world.random.below(6))}));
+            world.run(20ms + world.random.below(700) * 1ms);
+            if (world.random.below(2) == 0)
+                continue;
+            for (int i = 0; i < 50 && !owner->core.prepareHandover(world.now); ++i)
+                world.run(10ms);
+            owner->core.giveUp(world.now);
+            owner->isDead = true;
+            world.run(100ms + world.random.below(300) * 1ms);
+            if (world.random.below(2) == 0) {
+                world.elect();
+                world.run(100ms + world.random.below(300) * 1ms);
+            }
+            owner = &world.addHost(fmt::format("host-{}", step));
+            if (isCutOff)
+                owner->unreachableWorkers = {cutOff};
+            world.takeOver(*owner);
+        }
+        EXPECT_EQ(world.violations, std::vector<std::string>()) << "seed " << seed;
+    }
+}
