--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -176,7 +176,7 @@
     ordered.erase(std::unique(ordered.begin(), ordered.end(), isSame), ordered.end());
     state.ready.clear();
     for (const ordered_step &step : ordered)
-        state.ready.push_back(step.step);
+        state.ready.push_back({step.step.job, step.step.occurrence, step.step.step});
     return ordered;
 }
 
@@ -194,26 +194,43 @@
     bool run()
     {
         m_isUtilisationLow = isUtilisationLow();
-        std::int64_t waiting = 0;
         const std::vector<ordered_step> steps = orderSteps(m_state);
         const std::vector<const ordered_step *> starved = starvedSteps(steps);
-        const int maxStarts = m_maxStarts;
-        if (!starved.empty())
-            m_maxStarts -= std::max(1, m_maxStarts / starvedShareOfStarts);
-        for (std::size_t i = 0; i < steps.size(); ++i) {
-            const std::int64_t started = startTasks(steps[i]);
-            waiting += steps[i].waiting - started;
-            m_state.ready[i].hasNoWorker = m_starts < m_maxStarts && started < steps[i].waiting;
-        }
+        const int kept = starved.empty()
+            ? 0
+            : std::min(m_maxStarts, std::max(1, m_maxStarts / starvedShareOfStarts));
+        m_maxStarts -= kept;
+        const std::size_t next = startInOrder(steps, 0);
+        m_maxStarts += kept;
+        startStarved(starved);
+        // What starved jobs have left of the starts kept for them goes to the others.
+        startInOrder(steps, next);
+        std::int64_t waiting = 0;
+        for (const ordered_step &step : steps)
+            waiting += step.waiting;
+        m_state.counters.tasksWaiting = waiting - m_starts;
         const bool hasReachedLimit = m_starts >= m_maxStarts;
-        m_maxStarts = maxStarts;
-        m_state.counters.tasksWaiting = waiting - startStarved(starved);
         if (!hasReachedLimit)
             endYieldingWherePossible(m_state);
         return hasReachedLimit;
     }
 
 private:
+    // Starts tasks of the steps from index \p first on, in order. Returns the index of the step at
+    // which the maximum number of starts was reached, or the number of steps.
+    std::size_t startInOrder(const std::vector<ordered_step> &steps, std::size_t first)
+    {
+        for (std::size_t i = first; i < steps.size(); ++i) {
+            startTasks(steps[i]);
+            const bool hasReachedLimit = m_starts >= m_maxStarts;
+            m_state.ready[i].hasNoWorker = !hasReachedLimit
+                && std::any_of(steps[i].tasks->begin(), steps[i].tasks->end(), isWaiting);
+            if (hasReachedLimit)
+                return i;
+        }
+        return steps.size();
+    }
+
     std::vector<const ordered_step *> starvedSteps(const std::vector<ordered_step> &steps) const
     {
         std::vector<const ordered_step *> starved;
@@ -224,11 +241,9 @@
         return starved;
     }
 
-    // Starts one task of each starved job, in order. Best-effort tasks yield to all others. Returns
-    // the number started.
-    std::int64_t startStarved(const std::vector<const ordered_step *> &starved)
+    // Starts one task of each starved job, in order. Best-effort tasks yield to all others.
+    void startStarved(const std::vector<const ordered_step *> &starved)
     {
-        const int before = m_starts;
         const int maxStarts = m_maxStarts;
         const int last = std::min(maxStarts, m_starts + maxStarvedStartsPerPass);
         for (const ordered_step *step : starved) {
@@ -238,12 +253,10 @@
             startTasks(*step, true);
         }
         m_maxStarts = maxStarts;
-        return m_starts - before;
     }
 
-    // Starts waiting tasks of the step while there is a worker for them. Returns the number
-    // started.
-    std::int64_t startTasks(const ordered_step &ordered, bool areStarved = false)
+    // Starts waiting tasks of the step while there is a worker for them.
+    void startTasks(const ordered_step &ordered, bool areStarved = false)
     {
         const ready_step &ready = ordered.step;
         job_record &job = *ready.job;
@@ -262,7 +275,6 @@
             if (mayHaveRun(task))
                 recordTask(task.worker, request, tasksOfStep);
         }
-        const int before = m_starts;
         for (int index = 0; index < int(tasks.size()) && m_starts < m_maxStarts; ++index) {
             task_state &task = tasks[std::size_t(index)];
             if (!isWaiting(task))
@@ -276,7 +288,6 @@
             recordTask(worker->info.id, request, tasksOfStep);
             ++m_starts;
         }
-        return m_starts - before;
     }
 
     bool isUtilisationLow() const
--- a/test/correctness/scheduler_dispatch_cost_test.cpp
+++ b/test/correctness/scheduler_dispatch_cost_test.cpp
@@ -313,3 +313,25 @@
     EXPECT_LE(core.counters().workersExamined - before.workersExamined,
               2 * 2 * kindCount * workerCount);
 }
+
+// While the start window was full, passes followed each other without a pause, because one start
+// was kept for a job that no worker can take.
+TEST_F(dispatch_cost, WaitsForAnswersWhileAJobThatFitsNowhereIsStarved)
+{
+    step_spec labelled = finiteStep(1);
+    labelled.requiredLabel = "absent";
+    labelled.expectedRunMs = 1;
+    submit("q", "labelled", labelled);
+    settle(3s);
+    submitBlockedBurst(600, 0);
+    const std::size_t before = ports.starts.size();
+    allowStarts();
+    constexpr int maxTicks = 1000;
+    int ticks = 0;
+    for (const instant until = now + 100ms; now < until && ticks < maxTicks; ++ticks) {
+        now = std::max(now, core.nextWake());
+        commitAndTick();
+    }
+    EXPECT_GE(ports.starts.size(), before + 3990);
+    EXPECT_LT(ticks, 100);
+}
