--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -50,8 +50,10 @@
 
 /// A job that could run but has no run is starved after this time. The platform counts such a job
 /// as lost once it has been without a run for 3 s, from 14 s after the end of the traffic on.
+constexpr duration longestWait = 2500ms;
+
+/// Until this time after its acceptance, a job that is in time is not starved.
 constexpr duration longestWaitInTime = 10s;
-constexpr duration longestWaitWhenLate = 2500ms;
 
 /// The share of the starts of a pass that is kept for starved jobs, if there are any, so that they
 /// start even while other work takes all starts.
@@ -144,7 +146,8 @@
         return false;
     const bool isLate = ordered.rank.outlook >= deadline_outlook::late;
     const instant since = waitingSince(job, job.occurrences.at(ordered.step.occurrence));
-    return state.now >= since + (isLate ? longestWaitWhenLate : longestWaitInTime);
+    return state.now >= since + longestWait
+        && (isLate || state.now >= job.acceptedAt + longestWaitInTime);
 }
 
 bool isSameStep(const ready_step &a, const ready_step &b)
--- /dev/null
+++ b/test/failure/scheduler_waits_test.cpp
@@ -0,0 +1,105 @@
+// Guards against best-effort work that waits without a bound although its first run has begun.
+
+#include "correctness/scheduler_interfering_burst.h"
+
+using namespace crocuswind;
+using namespace crocuswind::scheduler;
+
+namespace {
+
+/// The platform counts a job as lost that could run and has had no run for this time.
+constexpr duration idleLimit = 3s;
+
+/// Serving tasks with this latency without load, as a fraction of the target, tolerate "light"
+/// tasks but no "heavy" one, even on a worker without other tasks.
+constexpr double sensitiveRatio = 0.4;
+
+/// A site with a serving task on each of six workers.
+struct serving_site
+{
+    serving_site()
+        : load(6, sensitiveRatio)
+    {
+        load.coefficients["light"] = 0.6;
+        load.world.runTime = [this](const task_name &task) {
+            const auto found = runTimes.find(task.job.value + "/" + std::to_string(task.step));
+            if (found != runTimes.end())
+                return found->second;
+            return task.job.value == "s" ? duration(1000s) : duration(2s);
+        };
+    }
+
+    static job_spec jobOf(const std::string &name, const std::string &image, int tasks,
+                          int expectedRunMs)
+    {
+        job_spec job = plainJob(name, tasks);
+        job.steps[0].isBestEffort = true;
+        job.steps[0].image = image;
+        job.steps[0].expectedRunMs = expectedRunMs;
+        return job;
+    }
+
+    void submit(const job_spec &job) { load.owner.call(job_call_kind::submit, job.name, &job); }
+
+    // Every 200 ms, four tasks that are in time are submitted.
+    void runOverloaded(duration time)
+    {
+        for (duration passed = 0ms; passed < time; passed += 100ms) {
+            if (steps++ % 2 == 0)
+                submit(jobOf(fmt::format("light-{}", steps), "light", 4, 20000));
+            load.step();
+        }
+    }
+
+    void run(duration time)
+    {
+        for (duration passed = 0ms; passed < time; passed += 100ms)
+            load.step();
+    }
+
+    // Returns the worker that runs a task of the job, or null.
+    fake_worker *workerOf(const std::string &job)
+    {
+        for (auto &[id, worker] : load.world.workers) {
+            for (const auto &[task, run] : worker.runs) {
+                if (task.job.value == job)
+                    return &worker;
+            }
+        }
+        return nullptr;
+    }
+
+    std::map<std::string, duration> runTimes; ///< Other than the default, by job and step.
+    interfering_burst load;
+    int steps = 0;
+};
+
+} // namespace
+
+// The second step of a job becomes ready long after the traffic has ended.
+TEST(Waits, AJobInTimeIsNotIdleForLongBetweenItsSteps)
+{
+    serving_site site;
+    site.runOverloaded(5s);
+    for (int i = 0; i < 6; ++i)
+        site.submit(serving_site::jobOf(fmt::format("h{}", i), "heavy", 4, 10));
+    site.runOverloaded(10s);
+    job_spec job = serving_site::jobOf("a", "light", 1, 30000);
+    job.steps.push_back(serving_site::jobOf("a", "heavy", 1, 30000).steps[0]);
+    job.steps[1].after = {0};
+    site.runTimes["a/0"] = 40s;
+    site.submit(job);
+    site.runOverloaded(1s);
+    site.run(30s);
+    ASSERT_NE(site.workerOf("a"), nullptr);
+    duration idle = duration::zero();
+    duration longest = duration::zero();
+    for (int i = 0; i < 250; ++i) {
+        site.run(100ms);
+        const bool isDone = site.load.world.done.count({job.name, 0, 1, 0}) != 0;
+        idle = site.workerOf("a") != nullptr || isDone ? duration::zero() : idle + 100ms;
+        longest = std::max(longest, idle);
+    }
+    EXPECT_EQ(site.load.world.done.count({job.name, 0, 0, 0}), 1U);
+    EXPECT_LT(toMs(longest), toMs(idleLimit));
+}
