--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -213,8 +213,10 @@
             waiting += step.waiting;
         m_state.counters.tasksWaiting = waiting - m_starts;
         const bool hasReachedLimit = m_starts >= m_maxStarts;
-        if (!hasReachedLimit)
+        if (!hasReachedLimit) {
             endYieldingWherePossible(m_state);
+            moveYieldingWherePossible(m_state);
+        }
         return hasReachedLimit;
     }
 
--- a/packages/scheduler/yielding_runs.cpp
+++ b/packages/scheduler/yielding_runs.cpp
@@ -2,6 +2,7 @@
 
 #include "pace_control.h"
 #include "run_binding.h"
+#include "task_lifecycle.h"
 #include "worker_choice.h"
 
 #include <algorithm>
@@ -16,6 +17,12 @@
 /// Above this ratio of latency to target of a serving task, the yielding runs beside it pause.
 constexpr double pauseRatio = 1.0;
 
+/// A yielding run that could run like any other elsewhere is moved after this time.
+constexpr duration minTimeBeforeMove = 1s;
+
+/// A run without checkpoints is moved only up to this progress, unless it is paused.
+constexpr int maxLostProgressPercent = 30;
+
 double highestLatencyRatio(const worker_record &worker)
 {
     double highest = 0;
@@ -35,6 +42,34 @@
         <= 1;
 }
 
+// Returns true if the run makes so little progress where it is that it may be stopped for a better
+// place.
+bool isWorthMoving(const scheduler_state &state, const worker_record &worker, const bound_run &run)
+{
+    const task_state &task = *run.task;
+    return task.phase == task_phase::running && state.now - task.runSince >= minTimeBeforeMove
+        && (run.step->savesProgress || task.progressPercent <= maxLostProgressPercent
+            || yieldingPace(worker) == 0);
+}
+
+// Returns true if another worker could take the run like any other.
+bool hasBetterPlace(scheduler_state &state, const worker_record &worker, const task_name &name,
+                    const bound_run &run)
+{
+    const auto &tasks = run.job->occurrences.at(name.occurrence).steps[std::size_t(name.step)];
+    std::map<worker_id, int> tasksOfStep;
+    for (const task_state &task : tasks) {
+        if (mayHaveRun(task))
+            ++tasksOfStep[task.worker];
+    }
+    worker_request request;
+    request.step = run.step;
+    request.service = run.job->policy.service;
+    request.tasksOfStep = &tasksOfStep;
+    const worker_record *place = refreshedChooser(state).choose(request);
+    return place != nullptr && place != &worker;
+}
+
 } // namespace
 
 std::int64_t yieldingMilliCores(std::int64_t milliCores)
@@ -57,4 +92,21 @@
     }
 }
 
+void moveYieldingWherePossible(scheduler_state &state)
+{
+    for (const task_name &name : state.yieldingTasks) {
+        if (state.findTask(name)->phase == task_phase::stopping)
+            return; // Its place is still free and would be found for others as well.
+    }
+    for (const task_name &name : state.yieldingTasks) {
+        task_state &task = *state.findTask(name);
+        const worker_record &worker = *state.findWorker(task.worker);
+        const bound_run &run = worker.runs.at(name);
+        if (isWorthMoving(state, worker, run) && hasBetterPlace(state, worker, name, run)) {
+            sendStop(state, name, task);
+            return;
+        }
+    }
+}
+
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/yielding_runs.h
+++ b/packages/scheduler/yielding_runs.h
@@ -20,6 +20,10 @@
 /// on. Call it when no waiting task can use these workers.
 void endYieldingWherePossible(scheduler_state &state);
 
+/// Stops a yielding run that another worker could take like any other run, so that it starts there.
+/// Call it when no waiting task can use these workers.
+void moveYieldingWherePossible(scheduler_state &state);
+
 } // namespace crocuswind::scheduler
 
 #endif
--- a/test/failure/scheduler_waits_test.cpp
+++ b/test/failure/scheduler_waits_test.cpp
@@ -103,3 +103,39 @@
     EXPECT_EQ(site.load.world.done.count({job.name, 0, 0, 0}), 1U);
     EXPECT_LT(toMs(longest), toMs(idleLimit));
 }
+
+// A serving task that is over its target by its own load paused a yielding run beside it for good,
+// although another worker had nothing to do.
+TEST(Waits, AYieldingRunIsNotPausedForGoodWhileAnotherWorkerIsIdle)
+{
+    serving_site site;
+    scheduler_world &world = site.load.world;
+    site.runOverloaded(5s);
+    for (int i = 0; i < 6; ++i)
+        site.submit(serving_site::jobOf(fmt::format("h{}", i), "heavy", 4, 10));
+    site.runOverloaded(10s);
+    site.runTimes["a/0"] = 1000s;
+    site.submit(serving_site::jobOf("a", "heavy", 1, 10));
+    site.runOverloaded(6s);
+    fake_worker *const first = site.workerOf("a");
+    ASSERT_NE(first, nullptr);
+    const task_name task{{"a"}, 0, 0, 0};
+    ASSERT_EQ(first->pacePercents.at(task), 10);
+    world.addWorker("w6", "rack-1", {10000, 64000, 0});
+    const instant end = world.now + 20s;
+    bool isPaused = true;
+    while (world.now < end) {
+        for (auto &[id, worker] : world.workers) {
+            for (const auto &[name, run] : worker.runs) {
+                if (name.job.value == "s")
+                    worker.measurements[name] = &worker == first ? 150 : 40;
+            }
+        }
+        world.run(100ms);
+        const fake_worker *const worker = site.workerOf("a");
+        isPaused = worker == nullptr || worker->pacePercents.count(task) == 0
+            ? worker == nullptr
+            : worker->pacePercents.at(task) == 0;
+    }
+    EXPECT_FALSE(isPaused);
+}
