--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -97,7 +97,8 @@
     bool isFinishStored = false; ///< Its end is durable and may be shown to callers.
     std::map<int, occurrence_state> occurrences; ///< Occurrences that are not done, by number.
     int boundRuns = 0; ///< Number of runs that may exist on workers.
-    instant idleSince; ///< Since when `boundRuns` is 0. Meaningful only while it is.
+    /// Since when no run is known, refused starts aside. Meaningful only while `boundRuns` is 0.
+    instant idleSince;
     int occurrencesDone = 0; ///< All occurrences below this number are done, see `doneLater`.
     std::vector<int> doneLater; ///< Numbers of done occurrences beyond `occurrencesDone`.
 
--- a/packages/scheduler/run_binding.cpp
+++ b/packages/scheduler/run_binding.cpp
@@ -116,7 +116,8 @@
     const auto bound = worker.runs.find(name);
     const step_spec &step = *bound->second.step;
     job_record &job = *bound->second.job;
-    if (--job.boundRuns == 0)
+    --job.boundRuns;
+    if (task.phase != task_phase::starting)
         job.idleSince = state.now;
     const bool isYielding = bound->second.isYielding;
     worker.runs.erase(bound);
--- a/test/failure/scheduler_waits_test.cpp
+++ b/test/failure/scheduler_waits_test.cpp
@@ -139,3 +139,20 @@
     }
     EXPECT_FALSE(isPaused);
 }
+
+// A refused start counted as a run, so that the wait of its job began anew.
+TEST(Waits, ARefusedStartDoesNotProlongTheWaitOfItsJob)
+{
+    serving_site site;
+    scheduler_world &world = site.load.world;
+    site.runOverloaded(5s);
+    for (int i = 0; i < 6; ++i)
+        site.submit(serving_site::jobOf(fmt::format("h{}", i), "heavy", 4, 10));
+    site.runOverloaded(10s);
+    const task_name task{{"a"}, 0, 0, 0};
+    for (auto &[id, worker] : world.workers)
+        worker.refusedUpTo[task] = 1;
+    site.submit(serving_site::jobOf("a", "heavy", 1, 10));
+    site.runOverloaded(3s);
+    EXPECT_GE(world.starts[task], 1);
+}
