--- a/test/correctness/scheduler_dispatch_cost_test.cpp
+++ b/test/correctness/scheduler_dispatch_cost_test.cpp
@@ -335,3 +335,27 @@
     EXPECT_GE(ports.starts.size(), before + 3990);
     EXPECT_LT(ticks, 100);
 }
+
+// Work that is in time takes all starts of the window; a starved job starts nevertheless.
+TEST_F(dispatch_cost, StartsAStarvedJobWhileOtherWorkTakesAllStarts)
+{
+    submitBlockedBurst(600, 0);
+    step_spec late = finiteStep(1);
+    late.expectedRunMs = 1;
+    submit("q", "late", late);
+    for (int i = 0; i < 300; ++i) {
+        now += 10ms;
+        commitAndTick();
+    }
+    const auto hasStarted = [&] {
+        return std::any_of(
+            ports.starts.begin(), ports.starts.end(),
+            [](const start_command &start) { return start.task.job.value == "late"; });
+    };
+    ASSERT_FALSE(hasStarted());
+    const std::size_t before = ports.starts.size();
+    allowStarts();
+    tickUntil(before + 1);
+    EXPECT_LE(ports.starts.size(), before + 200);
+    EXPECT_TRUE(hasStarted());
+}
--- a/test/failure/scheduler_waits_test.cpp
+++ b/test/failure/scheduler_waits_test.cpp
@@ -156,3 +156,32 @@
     site.runOverloaded(3s);
     EXPECT_GE(world.starts[task], 1);
 }
+
+// Only the worker of the yielding run comes to tolerate it at full pace.
+TEST(Waits, AYieldingRunGetsItsFullPaceWhenItsWorkerToleratesIt)
+{
+    serving_site site;
+    scheduler_world &world = site.load.world;
+    site.runOverloaded(5s);
+    for (int i = 0; i < 6; ++i)
+        site.submit(serving_site::jobOf(fmt::format("h{}", i), "heavy", 4, 10));
+    site.runOverloaded(10s);
+    site.runTimes["a/0"] = 1000s;
+    site.submit(serving_site::jobOf("a", "heavy", 1, 10));
+    site.runOverloaded(6s);
+    const fake_worker *const own = site.workerOf("a");
+    ASSERT_NE(own, nullptr);
+    const task_name task{{"a"}, 0, 0, 0};
+    ASSERT_EQ(own->pacePercents.at(task), 10);
+    for (const instant end = world.now + 60s; world.now < end;) {
+        for (auto &[id, worker] : world.workers) {
+            for (const auto &[name, run] : worker.runs) {
+                if (name.job.value == "s")
+                    worker.measurements[name] = &worker == own ? 5 : 95;
+            }
+        }
+        world.run(100ms);
+    }
+    EXPECT_EQ(world.starts[task], 1);
+    EXPECT_EQ(own->pacePercents.at(task), 100);
+}
