--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 #include <utility>
 
 namespace crocuswind::scheduler {
@@ -135,16 +136,27 @@
         candidateAt = now + retryInterval + candidacyDelay();
     }
 
-    // Ends a candidacy of a host that may not become the owner any more.
+    // Ends a candidacy of a host that may not become the owner any more. An acquisition in flight
+    // may have taken effect. Without its lease, a delayed copy has none.
     void abandonCandidacy()
     {
         ports.log("candidacy_abandoned", fmt::format("lease={}", lease));
+        forgetCalls();
         if (lease != 0)
-            send(call_kind::revoke, store_lease_revocation{lease}, callLimit);
+            revokeLease();
         currentStage = stage::follower;
         lease = 0;
     }
 
+    void revokeLease() { send(call_kind::revoke, store_lease_revocation{lease}, callLimit); }
+
+    // Ignores the answers to all calls in flight but revocations.
+    void forgetCalls()
+    {
+        for (auto i = calls.begin(); i != calls.end();)
+            i = i->second.kind == call_kind::revoke ? std::next(i) : calls.erase(i);
+    }
+
     bool isAbandoned() const { return !isEligible && currentStage != stage::owner; }
 
     void onGranted(const store_result &result, instant sentAt)
@@ -173,10 +185,6 @@
             handleElectionFailure("epoch");
             return;
         }
-        if (isAbandoned()) {
-            abandonCandidacy();
-            return;
-        }
         const store_entry *entry = findEntry(*result, epochKey(settings.keyPrefix));
         epochRecord = entry == nullptr ? epoch_record() : parseEpochRecord(entry->value);
         epochRevision = entry == nullptr ? 0 : entry->modRevision;
@@ -222,10 +230,6 @@
     {
         const bool wasOwner = currentStage == stage::owner;
         isReacquiring = false;
-        if (isAbandoned()) {
-            abandonCandidacy();
-            return;
-        }
         if (result && result->succeeded) {
             if (!wasOwner)
                 boundFormerOwner();
@@ -262,8 +266,10 @@
             unansweredEpochRecord = pendingEpochRecord;
             return;
         }
-        // Without an answer the write may have taken effect. The watch then shows this host's own
-        // key, which expires with its lease.
+        // Without an answer the write may have taken effect. This host's own key, which the watch
+        // then shows, is removed with its lease.
+        if (!result && result.error() == store_error::no_answer)
+            revokeLease();
         handleElectionFailure("acquire");
     }
 
@@ -344,7 +350,7 @@
         isReacquiring = false;
         unansweredEpochRecord.reset();
         // Answers to calls of this ownership say nothing about a later one.
-        calls.clear();
+        forgetCalls();
         openRenewals = 0;
         ports.onDeposed();
     }
@@ -487,6 +493,11 @@
     i.now = now;
     if (std::exchange(i.isEligible, isEligible) != isEligible)
         i.ports.log("eligible", fmt::format("value={}", isEligible));
+    // A lease that is not granted yet has no number. It is revoked once it has.
+    const bool isCandidate = i.currentStage == implementation::stage::reading
+        || i.currentStage == implementation::stage::acquiring;
+    if (!isEligible && isCandidate)
+        i.abandonCandidacy();
     i.updateCandidacy();
 }
 
@@ -594,7 +605,7 @@
     i.now = now;
     if (i.currentStage != implementation::stage::owner)
         return;
-    i.send(implementation::call_kind::revoke, store_lease_revocation{i.lease}, callLimit);
+    i.revokeLease();
     i.depose("resigned");
 }
 
--- a/packages/scheduler/owner_election.h
+++ b/packages/scheduler/owner_election.h
@@ -100,7 +100,7 @@
     owner_election &operator=(const owner_election &) = delete;
 
     /// Sets whether this host may become the owner. It may not while it is stopping, or if it could
-    /// not act as an owner. A candidacy that has begun is abandoned.
+    /// not act as an owner. A candidacy that has begun is abandoned, and its lease revoked.
     void setEligible(instant now, bool isEligible);
 
     /// Reports the value of the owner's key as read or watched, or nothing if the key does not
--- a/test/failure/scheduler_election_test.cpp
+++ b/test/failure/scheduler_election_test.cpp
@@ -56,6 +56,11 @@
             if (found != items.end())
                 reply.entries.push_back(entryOf(*found));
         }
+        const bool hasEndedLease = std::any_of(
+            transaction.puts.begin(), transaction.puts.end(),
+            [&](const store_put &put) { return put.lease != 0 && leases.count(put.lease) == 0; });
+        if (reply.succeeded && hasEndedLease)
+            return tl::unexpected(store_error::refused);
         if (reply.succeeded) {
             ++revision;
             for (const store_put &put : transaction.puts)
@@ -458,6 +463,102 @@
     }
 }
 
+namespace {
+
+/// A host that has sent its acquisition.
+struct sent_acquisition : testing::Test
+{
+    sent_acquisition()
+        : a(store, "a")
+    {
+        a.election.setEligible(a.now, true);
+        a.readOwnerKey();
+        a.advanceTime(1ms);
+        a.executeFirst(); // The grant of the lease.
+        a.executeFirst(); // The read of the epoch.
+        acquisition = a.waiting.front();
+    }
+
+    // The call is in flight until a test executes it and delivers the answer.
+    store_result executeAcquisition() { return store.apply(acquisition.second); }
+
+    void stop()
+    {
+        a.waiting.clear();
+        a.election.setEligible(a.now, false);
+    }
+
+    bool hasOwnerKey() const { return store.items.count("cw/owner") != 0; }
+
+    // Another host becomes the owner without waiting for a lease to expire.
+    void expectSuccessor()
+    {
+        EXPECT_FALSE(hasOwnerKey());
+        candidate b(store, "b");
+        b.becomeOwner();
+        EXPECT_TRUE(b.election.isOwner());
+    }
+
+    memory_store store;
+    candidate a;
+    std::pair<std::uint64_t, store_operation> acquisition;
+};
+
+} // namespace
+
+// A host that was stopped released its key only when the answer to its acquisition had arrived, or
+// had been given up.
+TEST_F(sent_acquisition, IsReleasedWithoutItsAnswerByAHostThatIsStopped)
+{
+    const store_result answer = executeAcquisition();
+    stop();
+    a.serve();
+    expectSuccessor();
+    a.election.onStoreResult(a.now, acquisition.first, answer);
+    EXPECT_TRUE(a.elected.empty());
+}
+
+TEST_F(sent_acquisition, IsReleasedIfOnlyTheWatchHasShownIt)
+{
+    executeAcquisition();
+    a.readOwnerKey();
+    stop();
+    a.serve();
+    expectSuccessor();
+    a.election.onStoreResult(a.now, acquisition.first, tl::unexpected(store_error::no_answer));
+    EXPECT_TRUE(a.waiting.empty());
+    EXPECT_TRUE(a.elected.empty());
+}
+
+TEST_F(sent_acquisition, HasNoEffectAfterTheHostWasStopped)
+{
+    stop();
+    a.serve();
+    const store_result answer = executeAcquisition();
+    expectSuccessor();
+    a.election.onStoreResult(a.now, acquisition.first, answer);
+    EXPECT_TRUE(a.elected.empty());
+    EXPECT_EQ(store.items.count("cw/owner"), 1U);
+}
+
+// The key remained until its lease expired, and nobody owned the jobs meanwhile.
+TEST_F(sent_acquisition, IsReleasedIfItsAnswerIsLost)
+{
+    a.loseAnswer();
+    a.serve();
+    expectSuccessor();
+    EXPECT_TRUE(a.elected.empty());
+}
+
+TEST_F(sent_acquisition, IsReleasedByAHostThatIsStoppedAfterItsAnswerWasLost)
+{
+    a.loseAnswer();
+    a.election.setEligible(a.now, false);
+    a.serve();
+    expectSuccessor();
+    EXPECT_TRUE(a.elected.empty());
+}
+
 // The answer to a rewrite of the owner's key, sent in a former ownership, was taken for the answer
 // to the write of the present candidacy, and the host acted as the owner without the key.
 TEST(Election, AnAnswerOfAFormerOwnershipDoesNotDecideACandidacy)
