--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -614,6 +614,11 @@
     return m_implementation->core.isOwner();
 }
 
+bool job_host::mayHoldOwnership() const
+{
+    return m_implementation->election.mayHoldKey();
+}
+
 void job_host::updateMetrics()
 {
     implementation &i = *m_implementation;
--- a/packages/jobs/job_host.h
+++ b/packages/jobs/job_host.h
@@ -78,6 +78,10 @@
     /// Returns true if this host owns the jobs and has read their records.
     bool isOwner() const;
 
+    /// Returns true while this host may hold the ownership in the store, whether it has read the
+    /// records or not. A process that stops waits until this ends.
+    bool mayHoldOwnership() const;
+
     /// Copies the counters of the scheduler and the router into the metrics registry.
     void updateMetrics();
 
--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -647,6 +647,15 @@
     return m_implementation->confirmations.formerAuthority();
 }
 
+bool owner_election::mayHoldKey() const
+{
+    const implementation &i = *m_implementation;
+    const bool isRevoking = std::any_of(i.calls.begin(), i.calls.end(), [](const auto &entry) {
+        return entry.second.kind == implementation::call_kind::revoke;
+    });
+    return i.currentStage != implementation::stage::follower || isRevoking;
+}
+
 std::int64_t owner_election::epoch() const
 {
     return m_implementation->epochRecord.epoch;
--- a/packages/scheduler/owner_election.h
+++ b/packages/scheduler/owner_election.h
@@ -129,6 +129,12 @@
     instant nextWake() const;
 
     bool isOwner() const;
+
+    /// Returns true while this host owns the jobs, is a candidate, or waits for the answer to the
+    /// revocation of its key's lease. If its process ends meanwhile, its key may remain until the
+    /// lease expires, and no other host can become the owner before.
+    bool mayHoldKey() const;
+
     std::int64_t epoch() const;
 
     /// Returns until when the owners that this host has seen replaced could extend leases. Call it
--- a/test/failure/platform_path_test.cpp
+++ b/test/failure/platform_path_test.cpp
@@ -247,6 +247,23 @@
     EXPECT_EQ(startsOf(jobA), 6);
 }
 
+// A host that was elected and stopped before it had read the records ended with the owner's key in
+// the store, and no other host could become the owner until its lease had expired.
+TEST_F(platform_path, AStoppedHostThatNeverServedLeavesNoOwnerKey)
+{
+    const auto hasOwnerKey = [&] {
+        const auto keys = store.keys("cw/owner");
+        return std::find(keys.begin(), keys.end(), "cw/owner") != keys.end();
+    };
+    store.refuseRange("cw/");
+    startHost();
+    ASSERT_TRUE(eventually(hasOwnerKey));
+    hosts[0].process->signal(SIGTERM);
+    ASSERT_TRUE(eventually([&] { return hosts[0].process->hasEnded(); }));
+    EXPECT_FALSE(hasOwnerKey());
+    EXPECT_EQ(hosts[0].process->wait(), 0);
+}
+
 // A host that stops ended with calls that waited for an owner, or before their refusals were
 // written.
 TEST_F(platform_path, AStoppedHostAnswersAllCallsWithoutAnOwner)
--- a/test/failure/scheduler_election_test.cpp
+++ b/test/failure/scheduler_election_test.cpp
@@ -559,6 +559,31 @@
     EXPECT_TRUE(a.elected.empty());
 }
 
+// The process of a stopped host ended before the release of its key was answered.
+TEST_F(sent_acquisition, MayHoldTheKeyUntilItsReleaseIsAnswered)
+{
+    EXPECT_TRUE(a.election.mayHoldKey());
+    executeAcquisition();
+    stop();
+    EXPECT_TRUE(a.election.mayHoldKey());
+    a.serve();
+    EXPECT_FALSE(a.election.mayHoldKey());
+}
+
+TEST_F(sent_acquisition, MayHoldTheKeyOfAnOwnerUntilItsReleaseIsAnswered)
+{
+    EXPECT_TRUE(a.election.mayHoldKey());
+    a.serve();
+    ASSERT_TRUE(a.election.isOwner());
+    a.election.setEligible(a.now, false);
+    EXPECT_TRUE(a.election.mayHoldKey());
+    a.election.resign(a.now);
+    EXPECT_FALSE(a.election.isOwner());
+    EXPECT_TRUE(a.election.mayHoldKey());
+    a.serve();
+    EXPECT_FALSE(a.election.mayHoldKey());
+}
+
 // The answer to a rewrite of the owner's key, sent in a former ownership, was taken for the answer
 // to the write of the present candidacy, and the host acted as the owner without the key.
 TEST(Election, AnAnswerOfAFormerOwnershipDoesNotDecideACandidacy)
--- a/test/standin/platform_site.cpp
+++ b/test/standin/platform_site.cpp
@@ -124,7 +124,9 @@
     if (m_isRefusing) {
         responder.answer(answer(503));
     } else if (request.path == "/kv-range") {
-        responder.answer(range(parameter(request.query, "prefix")));
+        const std::string prefix = parameter(request.query, "prefix");
+        const bool isRefused = !m_refusedRange.empty() && prefix == m_refusedRange;
+        responder.answer(isRefused ? answer(503) : range(prefix));
     } else if (request.path == "/kv-key") {
         const auto found = m_items.find(parameter(request.query, "key"));
         responder.answer(found == m_items.end() ? answer(404)
--- a/test/standin/platform_site.h
+++ b/test/standin/platform_site.h
@@ -42,6 +42,9 @@
     /// while the store refuses calls.
     void setRefusing(bool isRefusing) { m_isRefusing = isRefusing; }
 
+    /// Makes the store answer reads of exactly this prefix with status 503.
+    void refuseRange(const std::string &prefix) { m_refusedRange = prefix; }
+
 private:
     struct item
     {
@@ -84,6 +87,7 @@
     std::int64_t m_revision = 1;
     std::int64_t m_lastLease = 0;
     bool m_isRefusing = false;
+    std::string m_refusedRange; ///< Empty if no range is refused.
     timer_id m_timer = 0;
 };
 
