--- a/packages/scheduler/worker_polls.cpp
+++ b/packages/scheduler/worker_polls.cpp
@@ -18,8 +18,11 @@
 /// larger fleet each of them is polled less often, unless its serving tasks are near their targets.
 constexpr std::int64_t maxLearningReportsPerSecond = 1000;
 
-/// Poll interval of idle workers, to update their clock reading and detect restarts.
-constexpr duration idlePollInterval = 10s;
+/// Poll interval of idle workers. One that crashes misses a poll before it is back, unless it
+/// restarts faster than this and the time limit of a poll together. After the missed poll, no task
+/// starts there before its new incarnation has reported.
+constexpr duration idlePollInterval = 1200ms;
+static_assert(idlePollInterval < sameIncarnationLimit);
 
 /// Poll interval of workers with completions that are not durable yet. The commit of the
 /// completions triggers an earlier poll. During an outage of the store these polls renew the leases
