--- a/packages/scheduler/owner_election.h
+++ b/packages/scheduler/owner_election.h
@@ -100,7 +100,7 @@
     owner_election &operator=(const owner_election &) = delete;
 
     /// Sets whether this host may become the owner. It may not while it is stopping, or if it could
-    /// not act as an owner. A candidacy that has begun is abandoned.
+    /// not act as an owner. A candidacy that has begun is abandoned, and its lease revoked.
     void setEligible(instant now, bool isEligible);
 
     /// Reports the value of the owner's key as read or watched, or nothing if the key does not
@@ -129,6 +129,12 @@
     instant nextWake() const;
 
     bool isOwner() const;
+
+    /// Returns true while this host owns the jobs, is a candidate, or waits for the answer to the
+    /// revocation of its key's lease. If its process ends meanwhile, its key may remain until the
+    /// lease expires, and no other host can become the owner before.
+    bool mayHoldKey() const;
+
     std::int64_t epoch() const;
 
     /// Returns until when the owners that this host has seen replaced could extend leases. Call it
