--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -307,7 +307,7 @@
     job.criticalPathsMs = computeCriticalPathsMs(job.spec);
     state.unstartedJobs.insert(job.spec.name);
     job.idleSince = job.hasStarted() ? state.now : job.acceptedAt;
-    resumeOccurrences(state, job, unixNowMs);
+    resumeOccurrences(state, job);
 }
 
 bool fitsInBatch(const commit_batch &batch, std::size_t limit)
--- a/packages/scheduler/job_model.cpp
+++ b/packages/scheduler/job_model.cpp
@@ -35,6 +35,20 @@
         report("only earlier steps may be waited for");
 }
 
+std::int64_t tasksOfOccurrence(const job_spec &spec)
+{
+    std::int64_t sum = 0;
+    for (const step_spec &step : spec.steps)
+        sum += step.count;
+    return sum;
+}
+
+bool hasContinuousStep(const job_spec &spec)
+{
+    return std::any_of(spec.steps.begin(), spec.steps.end(),
+                       [](const step_spec &step) { return step.isContinuous; });
+}
+
 bool parseNumber(std::string_view text, int &number)
 {
     const char *const end = text.data() + text.size();
@@ -66,6 +80,14 @@
     return found;
 }
 
+int maxOverlap(const job_spec &spec)
+{
+    if (hasContinuousStep(spec))
+        return std::max(1, spec.scheduledOccurrences);
+    const std::int64_t tasks = std::max<std::int64_t>(1, tasksOfOccurrence(spec));
+    return int(std::max<std::int64_t>(1, maxTasksOfOverlap / tasks));
+}
+
 std::optional<std::string> unsupportedFeature(const job_spec &spec)
 {
     for (const step_spec &step : spec.steps) {
--- a/packages/scheduler/job_model.h
+++ b/packages/scheduler/job_model.h
@@ -82,6 +82,8 @@
 constexpr int maxTasksOfStep = 2000;
 constexpr int maxSteps = 64;
 constexpr int maxRepetitions = 1000;
+/// Further occurrences of a repeated job wait while those that have begun have this many tasks.
+constexpr std::int64_t maxTasksOfOverlap = 4'000;
 /// Limits of amounts and times, so far below the range of their types that sums over all tasks do
 /// not overflow.
 constexpr std::int64_t maxAmountOfTask = 1'000'000'000; ///< Thousandths of a core, or megabytes.
@@ -92,6 +94,10 @@
 /// input in the messages.
 findings checkJob(const job_spec &spec, const std::string &source);
 
+/// Returns how many occurrences of the job may have begun and not be done, at least 1. Occurrences
+/// with continuous tasks never end, so they do not wait for each other.
+int maxOverlap(const job_spec &spec);
+
 /// Returns a message if \p spec needs a feature that the scheduler does not support. Such a job is
 /// refused; it is never accepted with the feature ignored.
 std::optional<std::string> unsupportedFeature(const job_spec &spec);
--- a/packages/scheduler/job_record.cpp
+++ b/packages/scheduler/job_record.cpp
@@ -53,6 +53,12 @@
         || std::find(doneLater.begin(), doneLater.end(), number) != doneLater.end();
 }
 
+int job_record::releasedOccurrences() const
+{
+    return int(std::count_if(occurrences.begin(), occurrences.end(),
+                             [](const auto &entry) { return entry.second.isReleased; }));
+}
+
 void job_record::finishOccurrence(int number)
 {
     occurrences.erase(number);
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -95,7 +95,11 @@
     bool isFailed = false;
     std::int64_t finishedUnixMs = 0; ///< Unix time of its end; 0 while it has not ended.
     bool isFinishStored = false; ///< Its end is durable and may be shown to callers.
-    std::map<int, occurrence_state> occurrences; ///< Occurrences that are not done, by number.
+    /// Occurrences that have begun and are not done, by number. Later ones have no tasks yet.
+    std::map<int, occurrence_state> occurrences;
+    instant firstDueAt; ///< Due time of the first occurrence.
+    int nextOccurrence = 0; ///< All occurrences below this number have been released or are done.
+    bool isNextScheduled = false; ///< The release of `nextOccurrence` is scheduled.
     int boundRuns = 0; ///< Number of runs that may exist on workers.
     instant idleSince; ///< Since when `boundRuns` is 0. Meaningful only while it is.
     int occurrencesDone = 0; ///< All occurrences below this number are done, see `doneLater`.
@@ -108,10 +112,17 @@
     {
         return spec.scheduledOccurrences > 0 ? spec.scheduledOccurrences : 1;
     }
+    /// Returns the due time of an occurrence.
+    instant dueTimeOf(int number) const
+    {
+        return firstDueAt + number * std::chrono::milliseconds(spec.periodMs);
+    }
     /// Returns true if no task will ever start again.
     bool isOver() const { return isCancelled || isFailed || finishedUnixMs != 0; }
     /// Returns true if the occurrence is done.
     bool isOccurrenceDone(int number) const;
+    /// Returns the number of occurrences that are released and not done.
+    int releasedOccurrences() const;
     /// Marks an occurrence as done and deletes its tasks.
     void finishOccurrence(int number);
     /// Returns true if a run of any task of the job is known to have begun.
--- a/packages/scheduler/record_codec.cpp
+++ b/packages/scheduler/record_codec.cpp
@@ -180,6 +180,10 @@
     const int number = readAs<int>(j.at(0));
     if (number < 0 || number >= job.occurrenceCount())
         return;
+    // Earlier builds wrote all occurrences of a repeated job, most of them without any progress.
+    const bool hasProgress = !j.at(1).empty() || (j.size() > 2 && !j.at(2).empty());
+    if (job.spec.scheduledOccurrences > 0 && !hasProgress)
+        return;
     const auto [found, isNew] = job.occurrences.try_emplace(number);
     if (isNew)
         found->second = newOccurrence(job.spec, number, instant());
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -138,7 +138,9 @@
     start_window startWindow;
     std::vector<ready_step> ready; ///< Superset of the steps with waiting tasks.
     std::set<task_name> yieldingTasks; ///< Tasks whose current run yields to all others.
-    std::multimap<instant, std::pair<job_name, int>> dueOccurrences;
+    /// When the next occurrence of each job is due. An entry counts only if it is the due time of
+    /// the job's `nextOccurrence`.
+    std::multimap<instant, job_name> dueOccurrences;
 
     scheduler_counters counters;
 
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -26,6 +26,15 @@
     return job.spec.steps[std::size_t(name.step)];
 }
 
+// Returns true if the specification of the job has the task.
+bool hasTask(const job_record &job, const task_name &name)
+{
+    const auto &steps = job.spec.steps;
+    return name.occurrence >= 0 && name.occurrence < job.occurrenceCount() && name.step >= 0
+        && std::size_t(name.step) < steps.size() && name.index >= 0
+        && name.index < specOf(job, name).count;
+}
+
 bool canStepStart(const job_record &job, const occurrence_state &occurrence, int step)
 {
     const auto &after = job.spec.steps[std::size_t(step)].after;
@@ -51,13 +60,84 @@
     }
 }
 
-void releaseOccurrence(scheduler_state &state, job_record &job, int number)
+// Marks the tasks of an occurrence that an earlier owner may have released: any of them may run on
+// a worker that has not reported yet. A step may have started even if its predecessors are not
+// known to be done: their completions may not be durable yet and be known to the workers only.
+void markUnlocated(scheduler_state &state, occurrence_state &occurrence)
+{
+    for (auto &tasks : occurrence.steps) {
+        for (task_state &task : tasks) {
+            if (task.phase == task_phase::done)
+                continue;
+            task.phase = task_phase::unlocated;
+            task.interruptedAt = state.now;
+        }
+    }
+}
+
+// Creates the tasks of an occurrence unless it has them.
+occurrence_state &layOut(scheduler_state &state, job_record &job, int number)
+{
+    const auto [found, isNew] = job.occurrences.try_emplace(number);
+    if (isNew) {
+        found->second = newOccurrence(job.spec, number, job.dueTimeOf(number));
+        // Its due time may have come earlier by the clock of an earlier owner.
+        if (job.isRecovered)
+            markUnlocated(state, found->second);
+    }
+    return found->second;
+}
+
+// Releases the `unlocated` tasks of an occurrence that no unreported worker can be running. Returns
+// their number.
+std::int64_t releaseUnlocated(scheduler_state &state, job_record &job, occurrence_state &occurrence)
 {
-    const auto found = job.occurrences.find(number);
-    if (found == job.occurrences.end() || found->second.isReleased || job.isOver())
+    std::int64_t released = 0;
+    for (int step = 0; step < int(occurrence.steps.size()); ++step) {
+        const bool canStart = canStepStart(job, occurrence, step);
+        bool hasWaiting = false;
+        auto &tasks = occurrence.steps[std::size_t(step)];
+        for (int index = 0; index < int(tasks.size()); ++index) {
+            task_state &task = tasks[std::size_t(index)];
+            const bool isHeld = task.phase != task_phase::unlocated
+                || state.unreportedWorkers.mayHave({job.spec.name, occurrence.number, step, index});
+            if (isHeld)
+                continue;
+            ++released;
+            task.phase = canStart ? task_phase::waiting : task_phase::blocked;
+            hasWaiting = hasWaiting || canStart;
+        }
+        if (hasWaiting)
+            state.ready.push_back({&job, occurrence.number, step});
+    }
+    return released;
+}
+
+void releaseNextOccurrence(scheduler_state &state, job_record &job)
+{
+    occurrence_state &occurrence = layOut(state, job, job.nextOccurrence++);
+    occurrence.isReleased = true;
+    if (releaseUnlocated(state, job, occurrence) > 0)
+        state.isDispatchWanted = true;
+    unblockSteps(state, job, occurrence);
+}
+
+// Returns true if the job has an occurrence to release that need not wait for others to end. Skips
+// those that are done.
+bool mayReleaseNext(job_record &job)
+{
+    const int count = job.occurrenceCount();
+    while (job.nextOccurrence < count && job.isOccurrenceDone(job.nextOccurrence))
+        ++job.nextOccurrence;
+    return job.nextOccurrence < count && job.releasedOccurrences() < maxOverlap(job.spec);
+}
+
+void scheduleNextOccurrence(scheduler_state &state, job_record &job)
+{
+    if (job.isNextScheduled || !mayReleaseNext(job))
         return;
-    found->second.isReleased = true;
-    unblockSteps(state, job, found->second);
+    job.isNextScheduled = true;
+    state.dueOccurrences.emplace(job.dueTimeOf(job.nextOccurrence), job.spec.name);
 }
 
 std::int64_t unixTimeMs(const scheduler_state &state)
@@ -67,12 +147,11 @@
               .count();
 }
 
-instant dueTime(const scheduler_state &state, const job_spec &spec, int number)
+instant firstDueTime(const scheduler_state &state, const job_spec &spec)
 {
     if (spec.scheduledOccurrences == 0)
         return state.now;
-    const std::int64_t dueUnixMs = spec.firstDueUnixMs + number * spec.periodMs;
-    return state.now + std::chrono::milliseconds(dueUnixMs - unixTimeMs(state));
+    return state.now + std::chrono::milliseconds(spec.firstDueUnixMs - unixTimeMs(state));
 }
 
 void finishJob(scheduler_state &state, job_record &job)
@@ -100,6 +179,8 @@
     job.finishOccurrence(name.occurrence);
     if (job.occurrencesDone == job.occurrenceCount())
         finishJob(state, job);
+    else
+        scheduleNextOccurrence(state, job);
 }
 
 void recordWorkerFailure(scheduler_state &state, worker_record &worker)
@@ -265,46 +346,23 @@
 {
     if (job.isOver())
         return;
-    for (int number = 0; number < job.occurrenceCount(); ++number) {
-        if (job.isOccurrenceDone(number))
-            continue;
-        const instant due = dueTime(state, job.spec, number);
-        job.occurrences.try_emplace(number, newOccurrence(job.spec, number, due));
-        state.dueOccurrences.emplace(due, std::make_pair(job.spec.name, number));
-    }
+    job.firstDueAt = firstDueTime(state, job.spec);
+    scheduleNextOccurrence(state, job);
     releaseOccurrences(state);
 }
 
-void resumeOccurrences(scheduler_state &state, job_record &job, std::int64_t unixNowMs)
+void resumeOccurrences(scheduler_state &state, job_record &job)
 {
-    const std::int64_t earlyMs
-        = std::chrono::duration_cast<std::chrono::milliseconds>(state.settings.earlyLimit).count();
-    for (int number = 0; number < job.occurrenceCount(); ++number) {
-        if (job.isOccurrenceDone(number))
-            continue;
-        const instant due = dueTime(state, job.spec, number);
-        const auto [found, isNew]
-            = job.occurrences.try_emplace(number, newOccurrence(job.spec, number, due));
-        occurrence_state &occurrence = found->second;
-        occurrence.dueAt = due;
-        const std::int64_t dueUnixMs = job.spec.firstDueUnixMs + number * job.spec.periodMs;
-        const bool isDue = job.spec.scheduledOccurrences == 0 || dueUnixMs - earlyMs <= unixNowMs;
-        if (!isDue) {
-            state.dueOccurrences.emplace(due, std::make_pair(job.spec.name, number));
-            continue;
-        }
-        occurrence.isReleased = true;
-        // A step may have started even if its predecessors are not known to be done: their
-        // completions may not be durable yet and be known to the workers only.
-        for (auto &tasks : occurrence.steps) {
-            for (task_state &task : tasks) {
-                if (task.phase == task_phase::done)
-                    continue;
-                task.phase = task_phase::unlocated;
-                task.interruptedAt = state.now;
-            }
-        }
+    job.firstDueAt = firstDueTime(state, job.spec);
+    job.nextOccurrence = job.occurrencesDone;
+    for (auto &[number, occurrence] : job.occurrences) {
+        occurrence.dueAt = job.dueTimeOf(number);
+        markUnlocated(state, occurrence);
     }
+    const instant dueUntil = state.now + state.settings.earlyLimit;
+    while (mayReleaseNext(job) && job.dueTimeOf(job.nextOccurrence) <= dueUntil)
+        layOut(state, job, job.nextOccurrence++).isReleased = true;
+    scheduleNextOccurrence(state, job);
 }
 
 void releaseOccurrences(scheduler_state &state)
@@ -313,13 +371,34 @@
         const auto first = state.dueOccurrences.begin();
         if (first->first - state.settings.earlyLimit > state.now)
             return;
-        const auto [name, number] = first->second;
+        const auto [due, name] = *first;
         state.dueOccurrences.erase(first);
-        if (job_record *job = state.findJob(name))
-            releaseOccurrence(state, *job, number);
+        job_record *job = state.findJob(name);
+        const bool isCurrent = job != nullptr && !job->isOver() && job->isNextScheduled
+            && job->dueTimeOf(job->nextOccurrence) == due;
+        if (!isCurrent)
+            continue;
+        job->isNextScheduled = false;
+        if (!job->isOccurrenceDone(job->nextOccurrence))
+            releaseNextOccurrence(state, *job);
+        scheduleNextOccurrence(state, *job);
     }
 }
 
+task_state *findReportedTask(scheduler_state &state, const task_name &name)
+{
+    job_record *job = state.findJob(name.job);
+    if (job == nullptr)
+        return nullptr;
+    task_state *task = job->find(name);
+    const bool mayBeUnknown = job->isRecovered && !job->isOver() && hasTask(*job, name)
+        && !job->isOccurrenceDone(name.occurrence);
+    if (task != nullptr || !mayBeUnknown)
+        return task;
+    layOut(state, *job, name.occurrence);
+    return job->find(name);
+}
+
 void releaseUnlocatedTasks(scheduler_state &state)
 {
     std::int64_t released = 0;
@@ -327,25 +406,8 @@
         if (job->isOver())
             continue;
         for (auto &[number, occurrence] : job->occurrences) {
-            if (!occurrence.isReleased)
-                continue;
-            for (int step = 0; step < int(occurrence.steps.size()); ++step) {
-                bool hasWaiting = false;
-                auto &tasks = occurrence.steps[std::size_t(step)];
-                for (int index = 0; index < int(tasks.size()); ++index) {
-                    task_state &task = tasks[std::size_t(index)];
-                    const bool isHeld = task.phase != task_phase::unlocated
-                        || state.unreportedWorkers.mayHave({name, number, step, index});
-                    if (isHeld)
-                        continue;
-                    const bool canStart = canStepStart(*job, occurrence, step);
-                    ++released;
-                    task.phase = canStart ? task_phase::waiting : task_phase::blocked;
-                    hasWaiting = hasWaiting || canStart;
-                }
-                if (hasWaiting)
-                    state.ready.push_back({job.get(), number, step});
-            }
+            if (occurrence.isReleased)
+                released += releaseUnlocated(state, *job, occurrence);
         }
     }
     if (released == 0 && state.unreportedWorkers.size() != 0)
@@ -376,8 +438,11 @@
         return;
     }
     task.interruptedAt = state.now;
-    // An earlier owner may have started a later run on a worker that has not reported yet.
-    if (job.isRecovered && state.unreportedWorkers.mayHave(name)) {
+    // An earlier owner may have started a later run on a worker that has not reported yet, or may
+    // have released the occurrence before it is due by the clock of this owner.
+    const bool isHeld
+        = state.unreportedWorkers.mayHave(name) || !job.occurrences.at(name.occurrence).isReleased;
+    if (job.isRecovered && isHeld) {
         task.phase = task_phase::unlocated;
         return;
     }
@@ -399,7 +464,7 @@
 {
     if (!worker.completions.accept(completion.number, completion.task))
         return;
-    task_state *task = state.findTask(completion.task);
+    task_state *task = findReportedTask(state, completion.task);
     const bool counts = task != nullptr && endsTrackedRun(worker, *task, completion);
     state.logDetail("task_end", [&] {
         return fmt::format("job={} task={} run={} worker={} end={} reason={} counted={}",
--- a/packages/scheduler/task_lifecycle.h
+++ b/packages/scheduler/task_lifecycle.h
@@ -7,16 +7,22 @@
 
 namespace crocuswind::scheduler {
 
-/// Creates the occurrences of a job that has just become durable and releases those that are due.
+/// Schedules the occurrences of a job that has just become durable and releases those that are due.
 void releaseDueOccurrences(scheduler_state &state, job_record &job);
 
 /// Restores the occurrences of a job taken over from another owner. Tasks that the other owner may
 /// have started become `unlocated`.
-void resumeOccurrences(scheduler_state &state, job_record &job, std::int64_t unixNowMs);
+void resumeOccurrences(scheduler_state &state, job_record &job);
 
-/// Releases all occurrences that are due.
+/// Releases all occurrences that are due. Only then are their tasks created, so that memory follows
+/// what is due and not the number of repetitions.
 void releaseOccurrences(scheduler_state &state);
 
+/// Returns a task that a worker has reported, or null if no job has it. An earlier owner, whose
+/// clock may differ, has released its occurrence; the tasks of the occurrence are created if they
+/// are missing.
+task_state *findReportedTask(scheduler_state &state, const task_name &name);
+
 /// Releases the `unlocated` tasks that no unreported worker can be running, so that they may start.
 void releaseUnlocatedTasks(scheduler_state &state);
 
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -57,7 +57,7 @@
 bound_run *adoptIfUnlocated(scheduler_state &state, worker_record &worker,
                             const running_report &row)
 {
-    task_state *task = state.findTask(row.task);
+    task_state *task = findReportedTask(state, row.task);
     const bool isAdopted
         = task != nullptr && task->phase == task_phase::unlocated && row.run > task->countedRun;
     if (!isAdopted)
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -99,6 +99,9 @@
     /// Sends a call to the core; the reply appears in `replies`.
     call_token call(job_call_kind kind, const job_name &name, const job_spec *spec = nullptr);
 
+    /// Returns the Unix time by the host's clock, in milliseconds.
+    std::int64_t unixMs() const;
+
     /// Schedules the next tick of the core.
     void scheduleTick();
 
@@ -119,6 +122,7 @@
     bool isDead = false;
     bool isStoreUnreachable = false;
     instant stalledUntil; ///< The process is suspended until then; incoming messages queue up.
+    std::int64_t clockAheadMs = 0; ///< Its Unix time minus that of the world.
     duration readDelay = 0ms; ///< From the arrival of a response until the process reads it.
     std::set<worker_id> unreachableWorkers; ///< Workers that a partition separates from this host.
     /// A partition refuses connections instead of dropping packets.
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -402,11 +402,16 @@
         c.spec = *spec;
         m_world.specs[job] = *spec;
     }
-    core.call(m_world.now, m_world.unixMs(), c);
+    core.call(m_world.now, unixMs(), c);
     scheduleTick();
     return c.token;
 }
 
+inline std::int64_t fake_host::unixMs() const
+{
+    return m_world.unixMs() + clockAheadMs;
+}
+
 inline void fake_host::scheduleTick()
 {
     const std::uint64_t number = ++m_tickNumber;
@@ -418,7 +423,7 @@
         }
         if (isDead || number != m_tickNumber || !core.isOwner())
             return;
-        core.tick(m_world.now, m_world.unixMs());
+        core.tick(m_world.now, unixMs());
         scheduleTick();
     });
 }
@@ -502,7 +507,8 @@
     if (!queues.empty())
         owner.core.setQueues(now, queues);
     renewOwnership(owner);
-    owner.core.takeOver(now, unixMs(), owner.epoch, records, owner.confirmations.formerAuthority());
+    owner.core.takeOver(now, owner.unixMs(), owner.epoch, records,
+                        owner.confirmations.formerAuthority());
     for (const auto &[id, worker] : workers) {
         if (worker.isListed)
             owner.core.onWorker(now, worker.entry());
