--- a/packages/scheduler/job_intake.cpp
+++ b/packages/scheduler/job_intake.cpp
@@ -79,7 +79,7 @@
         refuse(state, call, "the queue is not known here yet", unknownQueueRetryMs);
         return;
     }
-    const findings mistakes = call.spec ? checkJob(*call.spec, call.name.value)
+    const findings mistakes = call.spec ? checkNewJob(*call.spec, call.name.value)
                                         : findings{{{"call", 0, 0}, "no job is given"}};
     if (!mistakes.empty()) {
         refuse(state, call, toString(mistakes), 0);
--- a/packages/scheduler/job_model.cpp
+++ b/packages/scheduler/job_model.cpp
@@ -80,6 +80,21 @@
     return found;
 }
 
+findings checkNewJob(const job_spec &spec, const std::string &source)
+{
+    findings found = checkJob(spec, source);
+    if (!found.empty())
+        return found;
+    const int repetitions = hasContinuousStep(spec) ? std::max(1, spec.scheduledOccurrences) : 1;
+    const std::int64_t tasks = tasksOfOccurrence(spec) * repetitions;
+    if (tasks > maxTasksAtOnce)
+        found.push_back({{source, 0, 0},
+                         fmt::format("the job has {} tasks at once, more than the {} that can be "
+                                     "held",
+                                     tasks, maxTasksAtOnce)});
+    return found;
+}
+
 int maxOverlap(const job_spec &spec)
 {
     if (hasContinuousStep(spec))
--- a/packages/scheduler/job_model.h
+++ b/packages/scheduler/job_model.h
@@ -82,6 +82,8 @@
 constexpr int maxTasksOfStep = 2000;
 constexpr int maxSteps = 64;
 constexpr int maxRepetitions = 1000;
+/// Limits the memory that the tasks of one job take, about 160 bytes each.
+constexpr std::int64_t maxTasksAtOnce = 20'000;
 /// Further occurrences of a repeated job wait while those that have begun have this many tasks.
 constexpr std::int64_t maxTasksOfOverlap = 4'000;
 /// Limits of amounts and times, so far below the range of their types that sums over all tasks do
@@ -94,6 +96,10 @@
 /// input in the messages.
 findings checkJob(const job_spec &spec, const std::string &source);
 
+/// Returns the errors in a new job: those of checkJob(), and one if the job is too large to be held
+/// in memory. Jobs that were accepted before that limit exceed it.
+findings checkNewJob(const job_spec &spec, const std::string &source);
+
 /// Returns how many occurrences of the job may have begun and not be done, at least 1. Occurrences
 /// with continuous tasks never end, so they do not wait for each other.
 int maxOverlap(const job_spec &spec);
--- a/test/error/platform_bodies_test.cpp
+++ b/test/error/platform_bodies_test.cpp
@@ -50,6 +50,14 @@
     }
 }
 
+TEST(JobBody, TooManyTasksAreAFinding)
+{
+    const char *const body = R"({"steps":[{"count":2000,"longRunning":true}],"repetitions":11})";
+    const auto spec = parseJobBody(body, {"0123456789abcdef"}, {"queue"});
+    ASSERT_FALSE(spec.has_value());
+    EXPECT_NE(toString(spec.error()).find("22000 tasks"), std::string::npos);
+}
+
 TEST(WorkerEntry, OfAnotherProgramIsNotAWorker)
 {
     EXPECT_TRUE(parseListedWorker("i-1", workerEntry).has_value());
