--- a/packages/scheduler/evacuation.cpp
+++ b/packages/scheduler/evacuation.cpp
@@ -37,7 +37,9 @@
         task_state &task = *run.task;
         if (!step.isContinuous || task.phase != task_phase::running || moving >= maxConcurrentMoves)
             continue;
-        if (chooseWorker(state, {&step, job.policy.service, nullptr, rack_id(), 1}) == nullptr)
+        const std::map<worker_id, int> tasksOfStep
+            = countRuns(job.occurrences.at(name.occurrence).steps[std::size_t(name.step)]);
+        if (chooseWorker(state, {&step, job.policy.service, &tasksOfStep, rack_id(), 1}) == nullptr)
             continue;
         logEvacuation(state, worker, name);
         sendStop(state, name, task);
--- a/packages/scheduler/job_record.cpp
+++ b/packages/scheduler/job_record.cpp
@@ -17,6 +17,16 @@
     }
 }
 
+std::map<worker_id, int> countRuns(const std::vector<task_state> &tasks)
+{
+    std::map<worker_id, int> runs;
+    for (const task_state &task : tasks) {
+        if (mayHaveRun(task))
+            ++runs[task.worker];
+    }
+    return runs;
+}
+
 bool occurrence_state::isStepDone(int step) const
 {
     const auto &tasks = steps[std::size_t(step)];
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -60,6 +60,9 @@
 /// Returns true if a run of the task may exist on its worker.
 bool mayHaveRun(const task_state &task);
 
+/// Returns how many runs of the tasks may exist on each worker.
+std::map<worker_id, int> countRuns(const std::vector<task_state> &tasks);
+
 /// One execution of the steps of a job.
 struct occurrence_state
 {
--- a/packages/scheduler/yielding_runs.cpp
+++ b/packages/scheduler/yielding_runs.cpp
@@ -56,12 +56,8 @@
 bool hasBetterPlace(scheduler_state &state, const worker_record &worker, const task_name &name,
                     const bound_run &run)
 {
-    const auto &tasks = run.job->occurrences.at(name.occurrence).steps[std::size_t(name.step)];
-    std::map<worker_id, int> tasksOfStep;
-    for (const task_state &task : tasks) {
-        if (mayHaveRun(task))
-            ++tasksOfStep[task.worker];
-    }
+    const std::map<worker_id, int> tasksOfStep
+        = countRuns(run.job->occurrences.at(name.occurrence).steps[std::size_t(name.step)]);
     worker_request request;
     request.step = run.step;
     request.service = run.job->policy.service;
--- a/test/failure/scheduler_waits_test.cpp
+++ b/test/failure/scheduler_waits_test.cpp
@@ -185,3 +185,15 @@
     EXPECT_EQ(world.starts[task], 1);
     EXPECT_EQ(own->pacePercents.at(task), 100);
 }
+
+// A task was stopped to leave a draining worker, although all others have a task of its step.
+TEST(Waits, ATaskStaysOnADrainingWorkerWhileNoOtherMayTakeIt)
+{
+    serving_site site;
+    scheduler_world &world = site.load.world;
+    fake_worker &draining = world.workers.begin()->second;
+    draining.info.isDraining = true;
+    site.load.owner.core.onWorker(world.now, draining.info);
+    site.run(5s);
+    EXPECT_EQ(draining.runs.size(), 1U);
+}
