--- a/packages/scheduler/run_binding.cpp
+++ b/packages/scheduler/run_binding.cpp
@@ -24,7 +24,6 @@
     const std::int64_t counted = countedMilliCores(step, isYielding);
     ++found->second.tasks;
     found->second.wantedMilliCores += counted;
-    found->second.yieldingMilliCores += isYielding ? step.size.milliCores : 0;
     worker.bestEffortMilliCores += counted;
     return found->second;
 }
@@ -35,7 +34,6 @@
     const std::int64_t counted = countedMilliCores(step, isYielding);
     worker.bestEffortMilliCores -= counted;
     found->second.wantedMilliCores -= counted;
-    found->second.yieldingMilliCores -= isYielding ? step.size.milliCores : 0;
     if (--found->second.tasks == 0)
         worker.bestEffort.erase(found);
 }
@@ -102,7 +100,6 @@
     const std::int64_t added
         = run.step->size.milliCores - yieldingMilliCores(run.step->size.milliCores);
     run.isYielding = false;
-    run.bestEffort->yieldingMilliCores -= run.step->size.milliCores;
     run.bestEffort->wantedMilliCores += added;
     worker.bestEffortMilliCores += added;
     state.yieldingTasks.erase(name);
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -192,7 +192,6 @@
     int tasks = 0;
     std::int64_t wantedMilliCores = 0; ///< Processors that they would use at full pace.
     double usedShare = 0; ///< Share of the worker's processors in use, as last reported.
-    std::int64_t yieldingMilliCores = 0; ///< Processors that its yielding runs would use.
     int pacePercent = 100; ///< Of the runs that do not yield.
     instant slowSince; ///< Since when the pace is low. Meaningful only while it is low.
 };
