--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -36,10 +36,6 @@
 constexpr int slowPacePercent = 60;
 constexpr duration slowLimit = 800ms;
 
-/// A run without checkpoints loses its progress when it is moved. Beyond this progress it stays on
-/// its worker unless it is paused.
-constexpr int maxLostProgressPercent = 30;
-
 /// Maximum number of runs moved away from a worker per report.
 constexpr int maxMovesPerReport = 4;
 
--- a/packages/scheduler/pace_control.h
+++ b/packages/scheduler/pace_control.h
@@ -7,6 +7,10 @@
 
 namespace crocuswind::scheduler {
 
+/// A run without checkpoints loses its progress when it is moved. Beyond this progress it stays on
+/// its worker unless it is paused.
+constexpr int maxLostProgressPercent = 30;
+
 /// Returns true if best-effort tasks on the worker may interfere with its serving tasks.
 bool mayInterfere(const worker_record &worker);
 
--- a/packages/scheduler/yielding_runs.cpp
+++ b/packages/scheduler/yielding_runs.cpp
@@ -17,9 +17,6 @@
 /// A yielding run that could run like any other elsewhere is moved after this time.
 constexpr duration minTimeBeforeMove = 1s;
 
-/// A run without checkpoints is moved only up to this progress, unless it is paused.
-constexpr int maxLostProgressPercent = 30;
-
 double highestLatencyRatio(const worker_record &worker)
 {
     double highest = 0;
--- a/test/failure/jobs_relay_test.cpp
+++ b/test/failure/jobs_relay_test.cpp
@@ -68,8 +68,9 @@
     {
         relays[{name}] = std::make_unique<command_relay>(
             loop, workersOf[name], [this](const host_id &, const std::string &bytes) {
-                if (!areResultsLost)
+                if (!areResultsLost) {
                     EXPECT_TRUE(receiver->onResults(bytes));
+                }
             });
         owner.onOffer({name}, {true, {"dc"}, 500});
     }
--- a/test/failure/scheduler_waits_test.cpp
+++ b/test/failure/scheduler_waits_test.cpp
@@ -51,6 +51,15 @@
         }
     }
 
+    // Starts the overload, and yielding runs of six jobs of an image that no worker tolerates.
+    void runStarvedJobs()
+    {
+        runOverloaded(5s);
+        for (int i = 0; i < 6; ++i)
+            submit(jobOf(fmt::format("h{}", i), "heavy", 4, 10));
+        runOverloaded(10s);
+    }
+
     void run(duration time)
     {
         for (duration passed = 0ms; passed < time; passed += 100ms)
@@ -80,10 +89,7 @@
 TEST(Waits, AJobInTimeIsNotIdleForLongBetweenItsSteps)
 {
     serving_site site;
-    site.runOverloaded(5s);
-    for (int i = 0; i < 6; ++i)
-        site.submit(serving_site::jobOf(fmt::format("h{}", i), "heavy", 4, 10));
-    site.runOverloaded(10s);
+    site.runStarvedJobs();
     job_spec job = serving_site::jobOf("a", "light", 1, 30000);
     job.steps.push_back(serving_site::jobOf("a", "heavy", 1, 30000).steps[0]);
     job.steps[1].after = {0};
@@ -110,10 +116,7 @@
 {
     serving_site site;
     scheduler_world &world = site.load.world;
-    site.runOverloaded(5s);
-    for (int i = 0; i < 6; ++i)
-        site.submit(serving_site::jobOf(fmt::format("h{}", i), "heavy", 4, 10));
-    site.runOverloaded(10s);
+    site.runStarvedJobs();
     site.runTimes["a/0"] = 1000s;
     site.submit(serving_site::jobOf("a", "heavy", 1, 10));
     site.runOverloaded(6s);
@@ -145,10 +148,7 @@
 {
     serving_site site;
     scheduler_world &world = site.load.world;
-    site.runOverloaded(5s);
-    for (int i = 0; i < 6; ++i)
-        site.submit(serving_site::jobOf(fmt::format("h{}", i), "heavy", 4, 10));
-    site.runOverloaded(10s);
+    site.runStarvedJobs();
     const task_name task{{"a"}, 0, 0, 0};
     for (auto &[id, worker] : world.workers)
         worker.refusedUpTo[task] = 1;
@@ -162,10 +162,7 @@
 {
     serving_site site;
     scheduler_world &world = site.load.world;
-    site.runOverloaded(5s);
-    for (int i = 0; i < 6; ++i)
-        site.submit(serving_site::jobOf(fmt::format("h{}", i), "heavy", 4, 10));
-    site.runOverloaded(10s);
+    site.runStarvedJobs();
     site.runTimes["a/0"] = 1000s;
     site.submit(serving_site::jobOf("a", "heavy", 1, 10));
     site.runOverloaded(6s);
