Stop tasks on draining workers only for places that are kept for them

Cause: evacuation stopped each continuous task of a draining worker if some worker could take it at that moment, and reserved nothing there. Hundreds were stopped on the strength of the same few places, and while a run ended, work that was in time took the place.

Change: room_claims keeps the room of a task on its new worker from before its stop until its start there. One task in eight workers moves at once; none moves while nothing may be started (hand-over, no authority, an outdated list of workers). Tasks without a place go on where they are.

--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher.h"
 
 #include "discovery_age.h"
+#include "room_claims.h"
 #include "run_binding.h"
 #include "task_lifecycle.h"
 #include "worker_choice.h"
@@ -197,6 +198,8 @@
     bool run()
     {
         m_isUtilisationLow = isUtilisationLow();
+        startClaimed();
+        const int claimedStarts = m_starts;
         const std::vector<ordered_step> steps = orderSteps(m_state);
         const std::vector<const ordered_step *> starved = starvedSteps(steps);
         const int kept = starved.empty()
@@ -211,7 +214,7 @@
         std::int64_t waiting = 0;
         for (const ordered_step &step : steps)
             waiting += step.waiting;
-        m_state.counters.tasksWaiting = waiting - m_starts;
+        m_state.counters.tasksWaiting = waiting - (m_starts - claimedStarts);
         const bool hasReachedLimit = m_starts >= m_maxStarts;
         if (!hasReachedLimit) {
             endYieldingWherePossible(m_state);
@@ -221,6 +224,22 @@
     }
 
 private:
+    // Starts the tasks for which room is kept, as far as it is free.
+    void startClaimed()
+    {
+        for (auto next = m_state.claims.begin();
+             next != m_state.claims.end() && m_starts < m_maxStarts;) {
+            const task_name name = (next++)->first; // A copy, because the start ends the claim.
+            task_state &task = *m_state.findTask(name);
+            worker_record *worker = isWaiting(task) ? claimedPlace(m_state, name) : nullptr;
+            if (worker == nullptr)
+                continue;
+            start(*m_state.findJob(name.job), name, task, *worker, false);
+            m_chooser.noteStart(*worker);
+            ++m_starts;
+        }
+    }
+
     // Starts tasks of the steps from index \p first on, in order. Returns the index of the step at
     // which the maximum number of starts was reached, or the number of steps.
     std::size_t startInOrder(const std::vector<ordered_step> &steps, std::size_t first)
@@ -280,6 +299,8 @@
             if (mayHaveRun(task))
                 recordTask(task.worker, request, tasksOfStep);
         }
+        if (step.maxPerWorker > 0 && !m_state.claims.empty())
+            tasksOfStep = countPlaces(m_state, job, ready.occurrence, ready.step);
         for (int index = 0; index < int(tasks.size()) && m_starts < m_maxStarts; ++index) {
             task_state &task = tasks[std::size_t(index)];
             if (!isWaiting(task))
@@ -325,6 +346,7 @@
     void start(job_record &job, const task_name &name, task_state &task, worker_record &worker,
                bool isYielding)
     {
+        releaseRoom(m_state, name);
         bindRun(m_state, worker, name, task, nextRun(job, task), isYielding);
         task.phase = task_phase::starting;
         task.runSince = m_state.now;
@@ -371,6 +393,7 @@
         state.nextDispatchAt = state.now + reviewInterval;
         return;
     }
+    reviewClaims(state);
     const bool hasReachedLimit = dispatch_pass(state).run();
     const bool isWindowFull = state.startWindow.available(state.startsInFlight) == 0;
     state.isDispatchWanted = hasReachedLimit;
--- a/packages/scheduler/job_model.cpp
+++ b/packages/scheduler/job_model.cpp
@@ -58,6 +58,14 @@
 
 } // namespace
 
+resources reservedBy(const step_spec &step)
+{
+    resources reserved = step.size;
+    if (step.isBestEffort)
+        reserved.milliCores = 0;
+    return reserved;
+}
+
 findings checkJob(const job_spec &spec, const std::string &source)
 {
     findings found;
--- a/packages/scheduler/job_model.h
+++ b/packages/scheduler/job_model.h
@@ -55,6 +55,9 @@
     friend bool operator!=(const step_spec &a, const step_spec &b) { return !(a == b); }
 };
 
+/// Returns the resources that one task of the step reserves on a worker.
+resources reservedBy(const step_spec &step);
+
 /// A job as its caller declares it.
 struct job_spec
 {
--- a/packages/scheduler/run_binding.cpp
+++ b/packages/scheduler/run_binding.cpp
@@ -56,15 +56,6 @@
         worker.serving.erase(found);
 }
 
-// Returns the resources that one task of the step reserves on a worker.
-resources reservedBy(const step_spec &step)
-{
-    resources reserved = step.size;
-    if (step.isBestEffort)
-        reserved.milliCores = 0;
-    return reserved;
-}
-
 } // namespace
 
 void bindRun(scheduler_state &state, worker_record &worker, const task_name &name, task_state &task,
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -148,6 +148,7 @@
         state.jobs.clear();
         state.unstartedJobs.clear();
         state.ready.clear();
+        state.claims.clear();
         state.yieldingTasks.clear();
         state.dueOccurrences.clear();
         state.dirtyJobs.clear();
@@ -175,7 +176,7 @@
             const worker_record &worker = i->second;
             const bool isGone = !worker.isListed && worker.runs.empty()
                 && !worker.completions.hasUnsettled() && !worker.isPollInFlight
-                && !state.unreportedWorkers.contains(i->first);
+                && !state.unreportedWorkers.contains(i->first) && worker.claimed == resources();
             if (isGone) {
                 state.isWorkerListDirty = state.isOwner;
                 if (worker.mayHaveLeavingRecord)
@@ -322,8 +323,6 @@
     i.state.noteWorkerChanged(worker);
     if (isDrainingChanged)
         i.state.scheduleLeavingRecord(info.id, now);
-    if (info.isDraining && i.state.isOwner)
-        evacuateWorker(i.state, worker);
     if (!worker.hasReported)
         i.state.bringPollForward(worker, now);
     i.runFollowUps();
@@ -436,6 +435,7 @@
     i.state.counters.jobsUncommitted = std::int64_t(i.state.dirtyJobs.size());
     i.state.counters.workersUnreported = std::int64_t(i.state.unreportedWorkers.size());
     dispatch(i.state);
+    evacuateWorkers(i.state);
     logAbsentTasks(i.state);
     logWaitingJobs(i.state);
     i.runFollowUps();
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -53,6 +53,14 @@
     bool hasNoWorker = false; ///< The last dispatch pass found no worker for a task of it.
 };
 
+/// Room on a worker that is kept for a task, see room_claims.h.
+struct room_claim
+{
+    worker_id worker;
+    resources size;
+    instant keptUntil; ///< The room is given up then.
+};
+
 /// The complete state of the owner of the jobs. The components are free functions that operate on
 /// it.
 struct scheduler_state
@@ -139,6 +147,8 @@
     std::int64_t startsInFlight = 0; ///< Start commands without a result.
     start_window startWindow;
     std::vector<ready_step> ready; ///< Superset of the steps with waiting tasks.
+    std::map<task_name, room_claim> claims; ///< By the task for which the room is kept.
+    instant nextEvacuationAt; ///< Next search of places for tasks on leaving workers.
     std::set<task_name> yieldingTasks; ///< Tasks whose current run yields to all others.
     /// When the next occurrence of each job is due. An entry counts only if it is the due time of
     /// the job's `nextOccurrence`.
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -76,15 +76,6 @@
         || worker.info.incarnationStartUnixMs == worker.incarnationStartUnixMs;
 }
 
-bool isEligible(const scheduler_state &state, const worker_record &worker)
-{
-    return worker.isListed && worker.isInStoredList && !worker.isStoredAsSilent
-        && isEntryOfReportedIncarnation(worker) && !worker.mayHaveLeavingRecord
-        && worker.hasReported && !worker.info.isDraining && worker.failedPolls == 0
-        && !worker.hasStrayRuns && worker.avoidedUntil <= state.now && worker.lease.isClockKnown()
-        && !mayHaveForgottenEpoch(state, worker);
-}
-
 bool hasRequiredLabel(const step_spec &step, const worker_record &worker)
 {
     return step.requiredLabel.empty() || hasLabel(worker.info, step.requiredLabel);
@@ -111,10 +102,7 @@
 // Returns true if the worker has the resources that a task of the step reserves.
 bool hasRoomFor(const step_spec &step, const free_capacity &freeCapacity)
 {
-    resources reserved = step.size;
-    if (step.isBestEffort)
-        reserved.milliCores = 0;
-    return fitsInto(reserved, freeCapacity.unreserved);
+    return fitsInto(reservedBy(step), freeCapacity.unreserved);
 }
 
 bool hasIdleProcessorsFor(const step_spec &step, const free_capacity &freeCapacity)
@@ -233,6 +221,15 @@
 
 } // namespace
 
+bool isEligible(const scheduler_state &state, const worker_record &worker)
+{
+    return worker.isListed && worker.isInStoredList && !worker.isStoredAsSilent
+        && isEntryOfReportedIncarnation(worker) && !worker.mayHaveLeavingRecord
+        && worker.hasReported && !worker.info.isDraining && worker.failedPolls == 0
+        && !worker.hasStrayRuns && worker.avoidedUntil <= state.now && worker.lease.isClockKnown()
+        && !mayHaveForgottenEpoch(state, worker);
+}
+
 std::int64_t idleMilliCores(const worker_record &worker)
 {
     const std::int64_t unusedByServing
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -1,6 +1,5 @@
 #include "worker_reports.h"
 
-#include "evacuation.h"
 #include "pace_control.h"
 #include "run_binding.h"
 #include "silent_workers.h"
@@ -314,7 +313,6 @@
         handleReport(state, *worker, command, result.report);
         controlPace(state, *worker);
         state.noteWorkerChanged(*worker);
-        evacuateWorker(state, *worker);
         scheduleNextPoll(state, *worker);
         return;
     case command_outcome::refused_stale_epoch:
--- /dev/null
+++ b/test/failure/scheduler_evacuation_test.cpp
@@ -0,0 +1,164 @@
+// Guards against continuous tasks that are stopped for places which others take.
+
+#include "correctness/scheduler_world.h"
+
+#include <gtest/gtest.h>
+
+using namespace crocuswind;
+using namespace crocuswind::scheduler;
+
+namespace {
+
+/// The platform counts a continuous task as lost that does not run for this time.
+constexpr duration absenceLimit = 6s;
+
+/// Stopping a run and starting it elsewhere takes up to this time.
+constexpr duration moveTime = 1s;
+
+job_spec continuousJob(const std::string &name, int tasks, std::int64_t milliCores)
+{
+    job_spec job = plainJob(name, tasks);
+    job.steps[0].isContinuous = true;
+    job.steps[0].size.milliCores = milliCores;
+    return job;
+}
+
+/// A fleet whose workers can be told to drain.
+struct Evacuation : testing::Test
+{
+    Evacuation()
+        : owner(world.addHost("host-1"))
+    {
+        world.runTime = [this](const task_name &task) {
+            const bool isContinuous = world.specs.at(task.job).steps[0].isContinuous;
+            // Runs that end one by one leave small gaps.
+            return isContinuous ? duration(1000s) : 600ms + 100ms * (task.index * 37 % 11);
+        };
+    }
+
+    void addWorkers(const std::string &prefix, int count)
+    {
+        for (int i = 0; i < count; ++i)
+            world.addWorker(fmt::format("{}{}", prefix, i), "rack-1", {4000, 64000, 0});
+    }
+
+    void submit(const job_spec &job) { owner.call(job_call_kind::submit, job.name, &job); }
+
+    void drain(const std::string &prefix)
+    {
+        for (auto &[id, worker] : world.workers) {
+            if (id.value.compare(0, prefix.size(), prefix) != 0)
+                continue;
+            worker.info.isDraining = true;
+            owner.core.onWorker(world.now, worker.info);
+        }
+    }
+
+    // Returns the names of the continuous tasks that run.
+    std::set<task_name> runningTasks() const
+    {
+        std::set<task_name> running;
+        for (const auto &[id, worker] : world.workers) {
+            for (const auto &[task, run] : worker.runs) {
+                if (world.specs.at(task.job).steps[0].isContinuous)
+                    running.insert(task);
+            }
+        }
+        return running;
+    }
+
+    // Runs the simulation while finite tasks of one core are submitted faster than they can run.
+    // Returns the longest time for which one of the tasks that run now was away.
+    duration longestAbsence(duration time)
+    {
+        constexpr duration step = 50ms;
+        const std::set<task_name> tasks = runningTasks();
+        std::map<task_name, duration> away;
+        duration longest = duration::zero();
+        for (duration passed = duration::zero(); passed < time; passed += step) {
+            if (backlogTasks > 0 && passed.count() % duration(500ms).count() == 0)
+                submitBacklog();
+            world.run(step);
+            const std::set<task_name> running = runningTasks();
+            for (const task_name &task : tasks) {
+                duration &absence = away[task];
+                absence = running.count(task) != 0 ? duration::zero() : absence + step;
+                longest = std::max(longest, absence);
+            }
+        }
+        return longest;
+    }
+
+    // Submits finite tasks of one core that stay in time, so that they go before continuous ones.
+    void submitBacklog()
+    {
+        job_spec job = plainJob(fmt::format("backlog-{}", backlogJobs++), backlogTasks);
+        job.steps[0].expectedRunMs = 60000;
+        submit(job);
+    }
+
+    scheduler_world world;
+    fake_host &owner;
+    int backlogTasks = 0; ///< Number of finite tasks that are submitted each half second.
+    int backlogJobs = 0;
+};
+
+} // namespace
+
+// 200 of 320 workers drain at once, with 400 continuous tasks, and 20 workers have room for 40.
+TEST_F(Evacuation, StopsNoMoreTasksThanThereArePlacesFor)
+{
+    addWorkers("leaving-", 200);
+    addWorkers("staying-", 100);
+    world.takeOver(owner);
+    world.run(200ms);
+    submit(continuousJob("a", 600, 2000));
+    world.run(10s);
+    ASSERT_EQ(runningTasks().size(), 600U);
+    addWorkers("new-", 20);
+    for (auto &[id, worker] : world.workers)
+        owner.core.onWorker(world.now, worker.info);
+    world.run(500ms);
+    drain("leaving-");
+    EXPECT_LE(longestAbsence(6s).count(), moveTime.count());
+    EXPECT_EQ(runningTasks().size(), 600U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+    std::size_t moved = 0;
+    for (const auto &[id, worker] : world.workers)
+        moved += id.value.compare(0, 4, "new-") == 0 ? worker.runs.size() : 0;
+    EXPECT_EQ(moved, 40U); // All places are used.
+}
+
+// While the tasks of draining workers end, finite tasks wait for the places.
+TEST_F(Evacuation, KeepsThePlacesOfTasksThatAreStopped)
+{
+    addWorkers("leaving-", 40);
+    addWorkers("staying-", 60);
+    world.takeOver(owner);
+    world.run(200ms);
+    submit(continuousJob("a", 80, 2000));
+    world.run(3s);
+    ASSERT_EQ(runningTasks().size(), 80U);
+    backlogTasks = 200;
+    longestAbsence(2s);
+    drain("leaving-");
+    EXPECT_LE(longestAbsence(8s).count(), moveTime.count());
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// A worker with room that is kept drains before the task has started there.
+TEST_F(Evacuation, GivesUpPlacesOnWorkersThatDrain)
+{
+    addWorkers("leaving-", 20);
+    addWorkers("next-", 10);
+    addWorkers("staying-", 20);
+    world.takeOver(owner);
+    world.run(200ms);
+    submit(continuousJob("a", 40, 2000));
+    world.run(3s);
+    drain("leaving-");
+    world.at(world.now + 120ms, [&] { drain("next-"); });
+    EXPECT_LE(longestAbsence(10s).count(), absenceLimit.count());
+    EXPECT_EQ(runningTasks().size(), 40U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
