Keep room back for interrupted continuous tasks until it is large enough

Cause: an interrupted continuous task goes first in the order, but each gap that opened on a full fleet was taken by a smaller task before it fitted, so that its wait had no end.

Change: after 2.5 s without a run, or at once if it was interrupted before the present owner took over, such a task claims the worker that will have the room soonest once finite runs there have ended. Nothing else that reserves processors starts there meanwhile. A claim that is not free after 3 s is given up for another. Among interrupted tasks the one that waits longest goes first.

Evidence: AnInterruptedTaskGetsRoomThatSmallerTasksWouldTake on: the task does not run again in 20 s, with finite runs ending all the time and no worker draining.

--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -78,7 +78,7 @@
 {
     deadline_outlook outlook = deadline_outlook::in_time;
     int priority = 0;
-    instant latestStart;
+    instant latestStart; ///< Of interrupted steps, since when a task waits.
     std::int64_t number = 0;
 
     friend bool operator<(const dispatch_rank &a, const dispatch_rank &b)
@@ -93,13 +93,26 @@
     return task.phase == task_phase::waiting;
 }
 
-// Returns true if a task of the step was interrupted longer than `longestInterruption` ago.
-bool isInterruptedForLong(const scheduler_state &state, const std::vector<task_state> &tasks)
+// Returns true if the task waits and was interrupted longer than `longestInterruption` ago, or
+// before this owner took over, which cannot tell when.
+bool isInterruptedForLong(const scheduler_state &state, const task_state &task)
 {
-    return std::any_of(tasks.begin(), tasks.end(), [&](const task_state &task) {
-        return isWaiting(task) && task.hasBegun
-            && state.now - task.interruptedAt >= longestInterruption;
-    });
+    return isWaiting(task) && task.hasBegun
+        && (state.now - task.interruptedAt >= longestInterruption
+            || task.interruptedAt <= state.tookOverAt);
+}
+
+// Returns since when the task of the step waits that was interrupted first, or nothing if none was
+// interrupted for long.
+std::optional<instant> longInterruptedSince(const scheduler_state &state,
+                                            const std::vector<task_state> &tasks)
+{
+    std::optional<instant> since;
+    for (const task_state &task : tasks) {
+        if (isInterruptedForLong(state, task))
+            since = std::min(since.value_or(task.interruptedAt), task.interruptedAt);
+    }
+    return since;
 }
 
 dispatch_rank rankOf(const scheduler_state &state, const ready_step &step,
@@ -111,10 +124,11 @@
     const instant endsAt = state.now
         + std::chrono::milliseconds(std::int64_t(double(criticalPathMs) * estimateMargin));
     deadline_outlook outlook = deadline_outlook::in_time;
-    if (job.spec.steps[std::size_t(step.step)].isContinuous)
-        outlook = isInterruptedForLong(state, tasks) ? deadline_outlook::interrupted
-                                                     : deadline_outlook::continuous;
-    else if (endsAt > objective.at)
+    if (job.spec.steps[std::size_t(step.step)].isContinuous) {
+        if (const auto since = longInterruptedSince(state, tasks))
+            return {deadline_outlook::interrupted, job.policy.priority, *since, job.number};
+        outlook = deadline_outlook::continuous;
+    } else if (endsAt > objective.at)
         outlook = endsAt > objective.lateUntil ? deadline_outlook::expired : deadline_outlook::late;
     return {outlook, job.policy.priority, objective.at - std::chrono::milliseconds(criticalPathMs),
             job.number};
@@ -306,8 +320,11 @@
             if (!isWaiting(task))
                 continue;
             worker_record *worker = m_chooser.choose(request);
-            if (worker == nullptr)
+            if (worker == nullptr) {
+                if (ordered.rank.outlook == deadline_outlook::interrupted && !step.isBestEffort)
+                    keepRoomFor(ordered, index, request);
                 break;
+            }
             start(job, {job.spec.name, ready.occurrence, ready.step, index}, task, *worker,
                   request.isYielding);
             m_chooser.noteStart(*worker);
@@ -316,6 +333,39 @@
         }
     }
 
+    // Keeps room for the interrupted tasks of the step from \p index on, which no worker can take
+    // now.
+    void keepRoomFor(const ordered_step &ordered, int index, const worker_request &request)
+    {
+        const ready_step &ready = ordered.step;
+        const std::vector<task_state> &tasks = *ordered.tasks;
+        const bool isHopeless
+            = std::any_of(m_withoutRoom.begin(), m_withoutRoom.end(), [&](const resources &size) {
+                  return fitsInto(size, request.step->size);
+              });
+        if (isHopeless)
+            return;
+        std::map<worker_id, int> places;
+        if (request.step->maxPerWorker > 0)
+            places = countPlaces(m_state, *ready.job, ready.occurrence, ready.step);
+        worker_request claimRequest = request;
+        claimRequest.tasksOfStep = &places;
+        for (; index < int(tasks.size()); ++index) {
+            const task_name name{ready.job->spec.name, ready.occurrence, ready.step, index};
+            if (!isInterruptedForLong(m_state, tasks[std::size_t(index)])
+                || hasClaim(m_state, name))
+                continue;
+            if (!claimFutureRoom(m_state, name, claimRequest)) {
+                if (request.step->requiredLabel.empty() && request.step->maxPerWorker == 0)
+                    m_withoutRoom.push_back(request.step->size);
+                return;
+            }
+            worker_record &worker = *m_state.findWorker(m_state.claims.at(name).worker);
+            m_chooser.noteStart(worker);
+            ++places[worker.info.id];
+        }
+    }
+
     bool isUtilisationLow() const
     {
         std::int64_t capacity = 0;
@@ -378,6 +428,7 @@
     int m_maxStarts;
     bool m_isUtilisationLow = false;
     int m_starts = 0;
+    std::vector<resources> m_withoutRoom; ///< Sizes for which no room will become free.
 };
 
 } // namespace
--- a/packages/scheduler/room_claims.cpp
+++ b/packages/scheduler/room_claims.cpp
@@ -2,10 +2,16 @@
 
 #include "run_binding.h"
 
+#include <algorithm>
+#include <fmt/format.h>
+
 namespace crocuswind::scheduler {
 
 namespace {
 
+/// Room that is not free after this time is given up, because other workers may have it by then.
+constexpr duration longestFutureClaim = 3s;
+
 bool needsClaim(scheduler_state &state, const task_name &name)
 {
     const task_state *task = state.findTask(name);
@@ -13,6 +19,28 @@
         && (task->phase == task_phase::stopping || task->phase == task_phase::waiting);
 }
 
+// Returns the room on the worker that no continuous run reserves and that is kept for no task.
+resources roomWithoutFiniteRuns(const worker_record &worker)
+{
+    return worker.freeResources() + worker.finiteCommitted;
+}
+
+// Returns the worker that is expected to have the room first, or null if none will have it.
+worker_record *chooseFutureRoom(scheduler_state &state, const worker_request &request)
+{
+    worker_record *best = nullptr;
+    const resources size = reservedBy(*request.step);
+    for (auto &[id, worker] : state.workers) {
+        if (!fitsInto(size, roomWithoutFiniteRuns(worker)) || !isPossible(state, request, worker))
+            continue;
+        const bool isSooner = best == nullptr
+            || worker.freeResources().milliCores > best->freeResources().milliCores;
+        if (isSooner)
+            best = &worker;
+    }
+    return best;
+}
+
 } // namespace
 
 void claimRoom(scheduler_state &state, const task_name &name, const step_spec &step,
@@ -81,4 +109,18 @@
     return places;
 }
 
+bool claimFutureRoom(scheduler_state &state, const task_name &name, const worker_request &request)
+{
+    worker_record *worker = chooseFutureRoom(state, request);
+    if (worker == nullptr)
+        return false;
+    claimRoom(state, name, *request.step, *worker, state.now + longestFutureClaim);
+    state.logDetail("room_kept", [&] {
+        return fmt::format("job={} task={} worker={} free_millicores={} needed_millicores={}",
+                           name.job.value, toString(name), worker->info.id.value,
+                           worker->freeResources().milliCores, request.step->size.milliCores);
+    });
+    return true;
+}
+
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/room_claims.h
+++ b/packages/scheduler/room_claims.h
@@ -1,7 +1,8 @@
 /// Keeps room on workers for continuous tasks that are to start there. Private to the package.
 ///
-/// Load pattern: hundreds of workers leave at once. Room that is only looked at has gone to other
-/// work by the time at which a task could start there.
+/// Load pattern: hundreds of workers leave at once, or each gap on a full fleet is taken by a task
+/// that is smaller than the interrupted one that waits for it. Room that is only looked at has gone
+/// to other work by the time at which the task could start.
 #ifndef CROCUSWIND_SCHEDULER_ROOM_CLAIMS_H
 #define CROCUSWIND_SCHEDULER_ROOM_CLAIMS_H
 
@@ -32,6 +33,11 @@
 std::map<worker_id, int> countPlaces(const scheduler_state &state, const job_record &job,
                                      int occurrence, int step);
 
+/// Claims room for a waiting task on a worker that has it once finite runs there have ended. No
+/// other task that reserves processors starts on that worker before. Returns false if finite runs
+/// hold the room on no worker.
+bool claimFutureRoom(scheduler_state &state, const task_name &name, const worker_request &request);
+
 } // namespace crocuswind::scheduler
 
 #endif
--- a/packages/scheduler/run_binding.cpp
+++ b/packages/scheduler/run_binding.cpp
@@ -80,6 +80,8 @@
     if (step.latencyTargetMs > 0)
         bound.serving = &addServing(state, worker, step);
     worker.committed = worker.committed + reservedBy(step);
+    if (!step.isContinuous)
+        worker.finiteCommitted = worker.finiteCommitted + reservedBy(step);
     updateBudgets(state, worker);
     state.noteWorkerChanged(worker);
     state.noteRunsChanged(worker);
@@ -116,6 +118,8 @@
     if (step.latencyTargetMs > 0)
         removeServing(worker, step);
     worker.committed = worker.committed - reservedBy(step);
+    if (!step.isContinuous)
+        worker.finiteCommitted = worker.finiteCommitted - reservedBy(step);
     updateBudgets(state, worker);
     state.noteWorkerChanged(worker);
     // Finite tasks need no update of the leaving record while other runs remain: a record that
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -230,6 +230,13 @@
         && !mayHaveForgottenEpoch(state, worker);
 }
 
+bool isPossible(const scheduler_state &state, const worker_request &request,
+                const worker_record &worker)
+{
+    return isEligible(state, worker) && worker.info.service == request.service
+        && hasRequiredLabel(*request.step, worker) && !isAtTaskLimit(request, worker);
+}
+
 std::int64_t idleMilliCores(const worker_record &worker)
 {
     const std::int64_t unusedByServing
--- a/packages/scheduler/worker_choice.h
+++ b/packages/scheduler/worker_choice.h
@@ -38,6 +38,10 @@
 /// Returns true if tasks may start on the worker at all.
 bool isEligible(const scheduler_state &state, const worker_record &worker);
 
+/// Returns true if the worker may run the task, whatever room it has.
+bool isPossible(const scheduler_state &state, const worker_request &request,
+                const worker_record &worker);
+
 /// Returns the best eligible worker, or null if there is none or the list of workers is too old to
 /// start tasks. Best-effort tasks go to the worker with the most idle processors whose serving
 /// tasks tolerate them. Other tasks go to the worker with the smallest remainder of free processors
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -263,6 +263,7 @@
     std::uint64_t strayPoll = 0; ///< Only the report of a later poll can prove that there are none.
     std::map<task_name, bound_run> runs; ///< Runs that may exist on the worker.
     resources committed; ///< Resources that these runs reserve.
+    resources finiteCommitted; ///< The part of it that finite runs reserve.
     resources claimed; ///< Resources kept for tasks that are to start here, see room_claims.h.
     std::int64_t bestEffortMilliCores = 0; ///< Processors that best-effort runs use at full pace.
     std::map<std::string, best_effort_image> bestEffort; ///< Best-effort runs by image.
@@ -285,7 +286,8 @@
     // Failures of runs on this worker.
     int consecutiveFailures = 0;
     instant avoidedUntil; ///< No task is started on the worker before this time.
-    /// Returns the resources that no run reserves and that are kept for no task.
+    /// Returns the resources that no run reserves and that are kept for no task. They may be
+    /// negative while room is kept that is not free yet.
     resources freeResources() const { return info.capacity - committed - claimed; }
 };
 
--- a/test/failure/scheduler_evacuation_test.cpp
+++ b/test/failure/scheduler_evacuation_test.cpp
@@ -1,4 +1,5 @@
-// Guards against continuous tasks that are stopped for places which others take.
+// Guards against continuous tasks that are stopped for places which others take, and against
+// interrupted ones that find no room because each gap is taken by a smaller task.
 
 #include "correctness/scheduler_world.h"
 
@@ -146,6 +147,31 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// Each worker runs finite tasks of one core, and more of them wait than can run. A worker that
+// crashes runs a continuous task of four cores.
+TEST_F(Evacuation, AnInterruptedTaskGetsRoomThatSmallerTasksWouldTake)
+{
+    addWorkers("a-", 8);
+    world.takeOver(owner);
+    world.run(200ms);
+    submit(continuousJob("a", 1, 4000));
+    world.run(1s);
+    ASSERT_EQ(runningTasks().size(), 1U);
+    backlogTasks = 40;
+    longestAbsence(3s);
+    const auto busy
+        = std::find_if(world.workers.begin(), world.workers.end(), [&](const auto &entry) {
+              const auto &runs = entry.second.runs;
+              return std::any_of(runs.begin(), runs.end(),
+                                 [](const auto &run) { return run.first.job.value == "a"; });
+          });
+    ASSERT_NE(busy, world.workers.end());
+    fake_worker &crashing = busy->second;
+    world.at(world.now + 100ms, [&] { world.restartWorker(crashing); });
+    EXPECT_LE(longestAbsence(20s).count(), absenceLimit.count());
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 // A worker with room that is kept drains before the task has started there.
 TEST_F(Evacuation, GivesUpPlacesOnWorkersThatDrain)
 {
