Release inherited tasks once for all workers that are given up at once

Change: it looks once, after the last of them. What is released does not change; the tests of departed workers, takeovers, silent leases and planned changes pass.

--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -421,12 +421,17 @@
     state.isDispatchWanted = true;
 }
 
-void markReported(scheduler_state &state, const worker_id &worker)
+bool noteReported(scheduler_state &state, const worker_id &worker)
 {
     if (!state.unreportedWorkers.erase(worker))
-        return;
+        return false;
     state.noteRunsChanged(*state.findWorker(worker));
-    if (!state.unreportedWorkers.mayHaveAny())
+    return !state.unreportedWorkers.mayHaveAny();
+}
+
+void markReported(scheduler_state &state, const worker_id &worker)
+{
+    if (noteReported(state, worker))
         releaseUnlocatedTasks(state);
 }
 
--- a/packages/scheduler/task_lifecycle.h
+++ b/packages/scheduler/task_lifecycle.h
@@ -27,6 +27,11 @@
 void releaseUnlocatedTasks(scheduler_state &state);
 
 /// Records that all runs on the worker that an earlier owner started are known or have ended.
+/// Returns true if releaseUnlocatedTasks() may release tasks now, which looks at all jobs: call it
+/// once for several workers.
+[[nodiscard]] bool noteReported(scheduler_state &state, const worker_id &worker);
+
+/// Does the same, and releases the tasks.
 void markReported(scheduler_state &state, const worker_id &worker);
 
 /// Queues a task without a current run for its next run. Drops it if its job is over.
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -271,6 +271,7 @@
     if (state.now < state.nextReviewAt)
         return;
     state.nextReviewAt = state.now + reviewInterval;
+    bool isReleaseDue = false;
     for (auto &[id, worker] : state.workers) {
         const bool mayHaveInheritedRuns = state.unreportedWorkers.contains(id);
         if (worker.runs.empty() && !mayHaveInheritedRuns)
@@ -288,9 +289,11 @@
             logGivenUp(state, worker);
             handleLostRuns(state, worker, "lease_lapsed");
             worker.hasReported = false;
-            markReported(state, id);
+            isReleaseDue = noteReported(state, id) || isReleaseDue;
         }
     }
+    if (isReleaseDue)
+        releaseUnlocatedTasks(state);
     reviewSilentWorkers(state);
     resendStops(state);
 }
