Tell the successor when the leases of leaving workers end

Cause: a worker that left with continuous tasks while the ownership was handed over was known to the successor by its leaving record alone, which names the tasks but not the lease.

Change: the list of workers that is stored when a hand-over begins names workers that leave within 3 s like silent ones, with the time left of their lease, and their leases are not renewed until the successor has heard from them.

--- a/packages/scheduler/silent_workers.cpp
+++ b/packages/scheduler/silent_workers.cpp
@@ -21,6 +21,10 @@
 /// than a poll waits at the worker.
 constexpr duration longestReportAge = 1500ms;
 
+/// A worker that leaves within this time after the beginning of a hand-over may be gone before the
+/// successor polls it.
+constexpr duration longestHandover = 3s;
+
 /// A list has at most this many witnesses. The reader needs to hear of one of them.
 constexpr std::size_t maxWitnesses = 8;
 
@@ -55,6 +59,14 @@
     return state.isHandingOver || (areFew && state.now - state.tookOverAt >= longestFirstReport);
 }
 
+// Returns true if the worker may leave while the ownership is handed over. The successor has to
+// know for how long its lease lasts, which is not renewed meanwhile.
+bool leavesDuringHandover(const scheduler_state &state, const worker_record &worker)
+{
+    return state.isHandingOver && worker.info.leavesAtClockMs && worker.lease.isClockKnown()
+        && worker.lease.timeOf(*worker.info.leavesAtClockMs) <= state.now + longestHandover;
+}
+
 bool canBeWitness(const worker_record &worker)
 {
     return worker.hasReported && worker.failedPolls == 0 && worker.isListed
@@ -113,6 +125,8 @@
 {
     if (!worker.hasReported && state.unreportedWorkers.contains(worker.info.id))
         return worker.failedPolls > 0 || worker.isStoredAsSilent || isOutstanding(state);
+    if (leavesDuringHandover(state, worker))
+        return true;
     return worker.failedPolls >= failedPollsOfSilentWorker
         || (worker.failedPolls > 0 && state.now - worker.lastReportAt >= longestReportAge);
 }
--- a/packages/scheduler/silent_workers.h
+++ b/packages/scheduler/silent_workers.h
@@ -8,7 +8,8 @@
 
 namespace crocuswind::scheduler {
 
-/// Returns true if the worker does not answer this owner. It remains silent when its lease has
+/// Returns true if the worker does not answer this owner, or may leave before the successor of an
+/// owner that hands over can ask it. It remains silent when its lease has
 /// lapsed and its runs are given up, so that a later owner need not wait for it either.
 bool isSilent(const scheduler_state &state, const worker_record &worker);
 
--- a/test/failure/scheduler_evacuation_test.cpp
+++ b/test/failure/scheduler_evacuation_test.cpp
@@ -90,6 +90,18 @@
         return longest;
     }
 
+    // Hands the ownership over and lets the other host take over 300 ms later.
+    void handOverTo(fake_host &successor)
+    {
+        if (!owner.core.prepareHandover(world.now)) {
+            world.at(world.now + 10ms, [&] { handOverTo(successor); });
+            return;
+        }
+        owner.core.giveUp(world.now);
+        owner.isDead = true;
+        world.at(world.now + 300ms, [&] { world.takeOver(successor); });
+    }
+
     // Submits finite tasks of one core that stay in time, so that they go before continuous ones.
     void submitBacklog()
     {
@@ -216,6 +228,34 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// The owner changes as planned while workers leave with continuous tasks. The successor knows when
+// the leases of these workers end.
+TEST_F(Evacuation, TasksOfWorkersThatLeaveDuringAHandOverStartInTime)
+{
+    fake_host &second = world.addHost("host-2");
+    addWorkers("leaving-", 10);
+    addWorkers("staying-", 2);
+    world.takeOver(owner);
+    world.run(200ms);
+    submit(continuousJob("a", 24, 2000));
+    world.run(3s);
+    ASSERT_EQ(runningTasks().size(), 24U);
+    for (auto &[id, worker] : world.workers)
+        worker.info.leavesAtClockMs = worker.clockMs(world.now) + 9000;
+    drain("leaving-");
+    world.at(world.now + 8800ms, [&] { handOverTo(second); });
+    world.at(world.now + 9s, [&] {
+        for (auto &[id, worker] : world.workers) {
+            if (worker.info.isDraining)
+                world.removeWorker(worker);
+        }
+        addWorkers("new-", 10);
+    });
+    EXPECT_LE(longestAbsence(20s).count(), duration(4s).count());
+    EXPECT_EQ(runningTasks().size(), 24U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 // A worker that stays longer than it announced keeps its runs.
 TEST_F(Evacuation, WorkersThatStayLongerThanAnnouncedKeepTheirRuns)
 {
