Give up claims on workers that may not run the task any more

Cause: a claim was kept as long as its worker could take any task at all.

Change: the review before each pass asks for the service of the queue and the label of the step as well. The simulation checks each start for the service, the label and the task limit of its step.

--- a/packages/scheduler/room_claims.cpp
+++ b/packages/scheduler/room_claims.cpp
@@ -19,6 +19,18 @@
         && (task->phase == task_phase::stopping || task->phase == task_phase::waiting);
 }
 
+// Returns true if the task, which needs its claim, may run on the worker of the claim. The worker's
+// entry or the configuration of the queue may have changed since.
+bool isClaimUsable(scheduler_state &state, const task_name &name, const room_claim &claim)
+{
+    const worker_record *worker = state.findWorker(claim.worker);
+    const job_record &job = *state.findJob(name.job);
+    worker_request request;
+    request.step = &job.spec.steps[std::size_t(name.step)];
+    request.service = job.policy.service;
+    return worker != nullptr && isPossible(state, request, *worker);
+}
+
 // Returns the room on the worker that no continuous run reserves and that is kept for no task.
 resources roomWithoutFiniteRuns(const worker_record &worker)
 {
@@ -78,9 +90,9 @@
     for (auto next = state.claims.begin(); next != state.claims.end();) {
         const auto &[claimed, claim] = *next++;
         const task_name name = claimed; // A copy, because the release removes the key.
-        const worker_record *worker = state.findWorker(claim.worker);
-        const bool isUseless = worker == nullptr || !isEligible(state, *worker);
-        if (isUseless || state.now >= claim.keptUntil || !needsClaim(state, name))
+        const bool isKept = state.now < claim.keptUntil && needsClaim(state, name)
+            && isClaimUsable(state, name, claim);
+        if (!isKept)
             releaseRoom(state, name);
     }
 }
--- a/packages/scheduler/room_claims.h
+++ b/packages/scheduler/room_claims.h
@@ -22,8 +22,9 @@
 /// Returns true if room is kept for the task.
 bool hasClaim(const scheduler_state &state, const task_name &name);
 
-/// Gives up the claims that have expired, and those of tasks that neither wait for a start nor are
-/// being stopped. Call it before a pass of starts.
+/// Gives up the claims that have expired, those of tasks that neither wait for a start nor are
+/// being stopped, and those on workers that may not run the task any more. Call it before a pass of
+/// starts.
 void reviewClaims(scheduler_state &state);
 
 /// Returns the worker on which room is kept for the task if it can start there now, otherwise null.
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -248,6 +248,8 @@
     /// Lets the owners see the entry of the life of the worker that began at \p bootedAt.
     void checkIn(fake_worker &worker, instant bootedAt);
     void checkStart(const fake_worker &worker, const task_name &task);
+    void checkRoute(const fake_worker &worker, const task_name &task,
+                    const std::function<void(const char *)> &report) const;
     void endRun(fake_worker &worker, const task_name &task, completion_reason reason);
 
     std::optional<published_confirmation> m_published; ///< In the store.
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -87,6 +87,30 @@
     }
 }
 
+// Checks that the task may start on a worker of this service, with these labels, beside the other
+// tasks of its step there.
+inline void scheduler_world::checkRoute(const fake_worker &worker, const task_name &task,
+                                        const std::function<void(const char *)> &report) const
+{
+    const job_spec &spec = specs.at(task.job);
+    const step_spec &step = spec.steps[std::size_t(task.step)];
+    const auto policy = std::find_if(queues.begin(), queues.end(), [&](const queue_policy &queue) {
+        return queue.queue == spec.queue;
+    });
+    if (policy != queues.end() && policy->service != worker.info.service)
+        report("runs on a worker of another service");
+    const auto &labels = worker.info.labels;
+    if (!step.requiredLabel.empty()
+        && std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end())
+        report("runs on a worker without its label");
+    const auto beside = std::count_if(worker.runs.begin(), worker.runs.end(), [&](const auto &run) {
+        return run.first.job == task.job && run.first.occurrence == task.occurrence
+            && run.first.step == task.step;
+    });
+    if (step.maxPerWorker > 0 && beside >= step.maxPerWorker)
+        report("runs beside too many tasks of its step");
+}
+
 inline void scheduler_world::checkStart(const fake_worker &worker, const task_name &task)
 {
     const auto report = [&](const char *what) {
@@ -114,6 +138,7 @@
         size.milliCores = 0;
     if (!fitsInto(worker.usedResources(specs) + size, worker.info.capacity))
         report("exceeds the capacity of the worker");
+    checkRoute(worker, task, report);
     ++starts[task];
 }
 
--- /dev/null
+++ b/test/failure/scheduler_claims_test.cpp
@@ -0,0 +1,160 @@
+// Guards against room that is kept for a task in vain: on a worker that may not run it, for a task
+// that may not start yet, or for longer than the task needs it.
+
+#include "correctness/scheduler_world.h"
+
+#include <gtest/gtest.h>
+
+using namespace crocuswind;
+using namespace crocuswind::scheduler;
+
+namespace {
+
+/// The platform counts a continuous task as lost that does not run for this time.
+constexpr duration absenceLimit = 6s;
+
+/// Stopping a run and starting it elsewhere takes up to this time.
+constexpr duration moveTime = 1s;
+
+constexpr resources workerCapacity{4000, 64000, 0};
+
+job_spec continuousJob(const std::string &name, int tasks, std::int64_t milliCores)
+{
+    job_spec job = plainJob(name, tasks);
+    job.steps[0].isContinuous = true;
+    job.steps[0].size.milliCores = milliCores;
+    return job;
+}
+
+/// A small fleet, of which each event is chosen.
+struct Claims : testing::Test
+{
+    Claims()
+        : owner(&world.addHost("host-1"))
+    {
+        world.runTime = [this](const task_name &task) {
+            const bool isContinuous = world.specs.at(task.job).steps[0].isContinuous;
+            return isContinuous ? duration(1000s) : finiteRunTime(task);
+        };
+    }
+
+    fake_worker &addWorker(const std::string &name, const std::string &service = "pool")
+    {
+        fake_worker &worker = world.addWorker(name, "rack-1", workerCapacity);
+        worker.info.service.value = service;
+        return worker;
+    }
+
+    void takeOver()
+    {
+        world.takeOver(*owner);
+        world.run(200ms);
+    }
+
+    void submit(const job_spec &job) { owner->call(job_call_kind::submit, job.name, &job); }
+
+    void announce(const fake_worker &worker)
+    {
+        owner->core.onWorker(world.now, worker.info);
+        owner->scheduleTick();
+    }
+
+    void drain(fake_worker &worker)
+    {
+        worker.info.isDraining = true;
+        announce(worker);
+    }
+
+    void leave(fake_worker &worker)
+    {
+        world.removeWorker(worker);
+        owner->scheduleTick();
+    }
+
+    fake_worker *workerOf(const task_name &task)
+    {
+        for (auto &[id, worker] : world.workers) {
+            if (worker.isUp && worker.runs.count(task) != 0)
+                return &worker;
+        }
+        return nullptr;
+    }
+
+    // Drains the worker of the task and waits until the task is being stopped there.
+    fake_worker &evacuate(const task_name &task)
+    {
+        fake_worker &from = *workerOf(task);
+        drain(from);
+        for (int i = 0; i < 100 && !from.runs.at(task).isStopping; ++i)
+            world.run(1ms);
+        EXPECT_TRUE(from.runs.at(task).isStopping);
+        return from;
+    }
+
+    // Returns the longest time without a run of the task.
+    duration longestAbsence(const task_name &task, duration time)
+    {
+        constexpr duration step = 10ms;
+        duration away = duration::zero();
+        duration longest = duration::zero();
+        for (duration passed = duration::zero(); passed < time; passed += step) {
+            world.run(step);
+            away = workerOf(task) != nullptr ? duration::zero() : away + step;
+            longest = std::max(longest, away);
+        }
+        return longest;
+    }
+
+    scheduler_world world;
+    fake_host *owner;
+    std::function<duration(const task_name &)> finiteRunTime
+        = [](const task_name &task) { return 600ms + 100ms * (task.index * 37 % 11); };
+};
+
+const task_name firstTask{{"a"}, 0, 0, 0};
+
+} // namespace
+
+// The queue is sent to another service while a task on its way has a place in the former one.
+TEST_F(Claims, AreGivenUpIfTheQueueGoesToAnotherService)
+{
+    addWorker("w0");
+    addWorker("w1");
+    takeOver();
+    submit(continuousJob("a", 1, 2000));
+    world.run(1s);
+    evacuate(firstTask);
+    world.queues[0].service.value = "other";
+    owner->core.setQueues(world.now, world.queues);
+    world.run(5s);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+    EXPECT_EQ(workerOf(firstTask), nullptr);
+}
+
+// label that the task requires.
+TEST_F(Claims, AreGivenUpIfTheWorkerMayNoLongerRunTheTask)
+{
+    for (const bool isServiceChanged : {false, true}) {
+        fake_worker &first = addWorker(fmt::format("w0-{}", isServiceChanged));
+        fake_worker &second = addWorker(fmt::format("w1-{}", isServiceChanged));
+        owner = &world.addHost(fmt::format("owner-{}", isServiceChanged));
+        takeOver();
+        job_spec job = continuousJob(fmt::format("a-{}", isServiceChanged), 1, 2000);
+        job.steps[0].requiredLabel = "a";
+        submit(job);
+        const task_name task{job.name, 0, 0, 0};
+        world.run(1s);
+        fake_worker &to = &evacuate(task) == &first ? second : first;
+        if (isServiceChanged)
+            to.info.service.value = "other";
+        else
+            to.info.labels = {"b", "rack-1"};
+        announce(to);
+        world.run(5s);
+        EXPECT_EQ(world.violations, std::vector<std::string>());
+        EXPECT_EQ(workerOf(task), nullptr);
+        owner->core.giveUp(world.now);
+        for (fake_worker *worker : {&first, &second})
+            leave(*worker);
+    }
+}
