Keep room for tasks of one service whatever another lacks

Cause: a size for which no room will become free was remembered for the rest of the pass without its service. While a task of one service found no room, the interrupted tasks of others of that size or more got no claim in any pass.

Change: the size is remembered with its service.

Evidence: OfOneServiceDoNotDependOnAnother: absent for the whole 20 s on, within 6 s now.

--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -339,10 +339,11 @@
     {
         const ready_step &ready = ordered.step;
         const std::vector<task_state> &tasks = *ordered.tasks;
-        const bool isHopeless
-            = std::any_of(m_withoutRoom.begin(), m_withoutRoom.end(), [&](const resources &size) {
-                  return fitsInto(size, request.step->size);
-              });
+        const bool isHopeless = std::any_of(m_withoutRoom.begin(), m_withoutRoom.end(),
+                                            [&](const missing_room &missing) {
+                                                return missing.service == request.service
+                                                    && fitsInto(missing.size, request.step->size);
+                                            });
         if (isHopeless)
             return;
         std::map<worker_id, int> places;
@@ -357,7 +358,7 @@
                 continue;
             if (!claimFutureRoom(m_state, name, claimRequest)) {
                 if (request.step->requiredLabel.empty() && request.step->maxPerWorker == 0)
-                    m_withoutRoom.push_back(request.step->size);
+                    m_withoutRoom.push_back({request.service, request.step->size});
                 return;
             }
             worker_record &worker = *m_state.findWorker(m_state.claims.at(name).worker);
@@ -423,12 +424,19 @@
         m_state.ports.start(command);
     }
 
+    /// A size for which no room will become free on any worker of the service.
+    struct missing_room
+    {
+        service_id service;
+        resources size;
+    };
+
     scheduler_state &m_state;
     worker_chooser &m_chooser;
     int m_maxStarts;
     bool m_isUtilisationLow = false;
     int m_starts = 0;
-    std::vector<resources> m_withoutRoom; ///< Sizes for which no room will become free.
+    std::vector<missing_room> m_withoutRoom;
 };
 
 } // namespace
--- a/test/failure/scheduler_claims_test.cpp
+++ b/test/failure/scheduler_claims_test.cpp
@@ -158,3 +158,36 @@
             leave(*worker);
     }
 }
+
+// A task of one service finds no room at all. That says nothing about another service.
+TEST_F(Claims, OfOneServiceDoNotDependOnAnother)
+{
+    for (const char *service : {"pool", "other"}) {
+        for (int i = 0; i < 4; ++i)
+            addWorker(fmt::format("{}-{}", service, i), service);
+    }
+    queue_policy second = world.queues[0];
+    second.queue.value = "second";
+    second.service.value = "other";
+    world.queues.push_back(second);
+    takeOver();
+    submit(continuousJob("full", 4, 4000));
+    job_spec job = continuousJob("a", 1, 4000);
+    job.queue = second.queue;
+    submit(job);
+    world.run(1s);
+    fake_worker *const ofFull = workerOf({{"full"}, 0, 0, 0});
+    ASSERT_TRUE(ofFull != nullptr && workerOf(firstTask) != nullptr);
+    for (int i = 0; i < 40; ++i) {
+        job_spec backlog = plainJob(fmt::format("backlog-{}", i), 40);
+        backlog.queue = second.queue;
+        backlog.steps[0].expectedRunMs = 60000;
+        submit(backlog);
+    }
+    world.run(2s);
+    leave(*ofFull);
+    world.run(10s); // Until its runs are given up.
+    world.restartWorker(*workerOf(firstTask));
+    EXPECT_LE(longestAbsence(firstTask, 20s).count(), absenceLimit.count());
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
