Move no task that could not start until workers have reported

Cause: a new owner stopped inherited continuous tasks on draining workers while a former worker had not reported. A stopped task of an inherited job is unlocated then, so it lost its claim and waited for the lease of that worker, although it could have gone on where it was.

Change: such a task is left running until no unreported worker may have it.

--- a/packages/scheduler/evacuation.cpp
+++ b/packages/scheduler/evacuation.cpp
@@ -60,12 +60,20 @@
         for (const auto &[name, run] : worker.runs) {
             if (m_movesLeft <= 0)
                 return;
-            if (run.step->isContinuous && run.task->phase == task_phase::running)
+            if (run.step->isContinuous && run.task->phase == task_phase::running
+                && mayStartAgain(name, run))
                 moveTask(worker, name, run);
         }
     }
 
 private:
+    // Returns false if the task, once stopped, would have to wait until workers have reported to
+    // this new owner.
+    bool mayStartAgain(const task_name &name, const bound_run &run) const
+    {
+        return !run.job->isRecovered || !m_state.unreportedWorkers.mayHave(name);
+    }
+
     void moveTask(const worker_record &worker, const task_name &name, const bound_run &run)
     {
         std::map<worker_id, int> places;
--- a/test/failure/scheduler_claims_test.cpp
+++ b/test/failure/scheduler_claims_test.cpp
@@ -191,3 +191,25 @@
     EXPECT_LE(longestAbsence(firstTask, 20s).count(), absenceLimit.count());
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
+
+// for seconds. Its own worker drains for longer than that.
+TEST_F(Claims, AreNotUsedForTasksThatCouldNotStart)
+{
+    for (int i = 0; i < 4; ++i)
+        addWorker(fmt::format("w{}", i));
+    takeOver();
+    submit(continuousJob("a", 1, 2000));
+    submit(continuousJob("b", 1, 4000));
+    world.run(2s);
+    fake_worker &crashing = *workerOf({{"b"}, 0, 0, 0});
+    fake_worker &draining = *workerOf(firstTask);
+    crashing.isUp = false;
+    owner->isDead = true;
+    draining.info.isDraining = true;
+    world.run(1200ms);
+    owner = &world.addHost("host-2");
+    takeOver();
+    EXPECT_LE(longestAbsence(firstTask, 15s).count(), moveTime.count());
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+    EXPECT_NE(workerOf(firstTask), &draining);
+}
