Renew the short leases of leaving workers while the store is slow

Cause: a worker with completions that are not durable yet is polled every 2 s until a commit triggers an earlier poll. The leases of workers that stay longer than they announced last 1.5 s, so that all their runs lapsed when a run ended while the store took longer than that.

Change: such workers are polled every 0.5 s meanwhile.

--- a/packages/scheduler/worker_polls.cpp
+++ b/packages/scheduler/worker_polls.cpp
@@ -28,6 +28,8 @@
 /// completions triggers an earlier poll. During an outage of the store these polls renew the leases
 /// of the other runs there.
 constexpr duration unsettledPollInterval = 2s;
+/// The same for workers that are about to leave, whose leases are shorter.
+constexpr duration unsettledPollIntervalOfLeavingWorker = 500ms;
 /// A worker that does not answer is polled again after this time.
 constexpr duration failedPollInterval = 250ms;
 /// Poll interval while a new owner awaits its first confirmation, without which polls renew no
@@ -47,6 +49,7 @@
 /// A worker that is about to leave, or that stays longer than it announced, gets leases of this
 /// length. They outlast a poll.
 constexpr duration leavingWorkerLease = 1500ms;
+static_assert(unsettledPollIntervalOfLeavingWorker < leavingWorkerLease);
 
 bool isConfirmed(const scheduler_state &state)
 {
@@ -152,7 +155,10 @@
 void scheduleNextPoll(scheduler_state &state, worker_record &worker)
 {
     if (worker.completions.hasUnsettled())
-        state.schedulePoll(worker, state.now + unsettledPollInterval);
+        state.schedulePoll(worker,
+                           state.now
+                               + (worker.info.leavesAtClockMs ? unsettledPollIntervalOfLeavingWorker
+                                                              : unsettledPollInterval));
     else if (worker.isStoredAsSilent)
         state.schedulePoll(worker, state.now + failedPollInterval);
     else if (needsPolling(worker))
--- a/test/failure/scheduler_claims_test.cpp
+++ b/test/failure/scheduler_claims_test.cpp
@@ -213,3 +213,20 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
     EXPECT_NE(workerOf(firstTask), &draining);
 }
+
+// A worker stays longer than it announced, and the store is slow.
+TEST_F(Claims, ASlowStoreEndsNoRunsOfWorkersThatStay)
+{
+    fake_worker &worker = addWorker("w0");
+    takeOver();
+    submit(continuousJob("a", 1, 2000));
+    submit(plainJob("finite", 2));
+    finiteRunTime = [](const task_name &) { return 4s; };
+    world.run(1500ms);
+    ASSERT_EQ(workerOf(firstTask), &worker);
+    worker.info.leavesAtClockMs = worker.clockMs(world.now);
+    drain(worker);
+    world.storeDelay = 3s;
+    EXPECT_EQ(longestAbsence(firstTask, 12s).count(), 0);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
