Split the owner election by concept

Cause: owner_election.cpp had 664 lines in one private type: the writes of the epoch key, the attempts to commit a batch, the calls in flight and the steps of the election.

Change: no change of behaviour. epoch_writer builds what an acquisition, a rewrite and a commit compare and replace, and tells whose write made a comparison fail; commit_attempts keeps the batch until its outcome is known; election_calls keeps the calls that have no answer; owner_election_state has the steps, and owner_election (184 lines) turns events into them.

--- a/packages/scheduler/owner_election.h
+++ b/packages/scheduler/owner_election.h
@@ -83,6 +83,8 @@
     virtual void log(const std::string &event, const std::string &fields) = 0;
 };
 
+struct owner_election_state;
+
 /// Takes part in the election for this host, renews its ownership and performs its commits.
 ///
 /// The election uses three keys in the store. `owner` is bound to a lease and names the current
@@ -142,8 +144,7 @@
     const earlier_authority &earlierAuthority() const;
 
 private:
-    struct implementation;
-    std::unique_ptr<implementation> m_implementation;
+    std::unique_ptr<owner_election_state> m_state;
 };
 
 /// Returns the store key that names the owner.
