Pace the best-effort images of a worker together

Cause: each image was paced by itself, and one that would cause under 15% of the interference of all images at full pace was exempt. Paused images stayed in that sum, so once the large ones were paused the small ones kept serving tasks over their target, exempt at full pace; nine equal images were all exempt; and paces jumped between 0 and 100 with the estimate.

Change: the images share the headroom of each serving image by max-min fairness, and over the target the interference at the present paces is cut in the same way. A line over_target names what runs beside a serving task that is over its target for long.

--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -1,12 +1,14 @@
 #include "pace_control.h"
 
 #include "discovery_age.h"
+#include "fair_share.h"
 #include "task_lifecycle.h"
 #include "worker_choice.h"
 #include "yielding_runs.h"
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <numeric>
 
 namespace crocuswind::scheduler {
 
@@ -15,7 +17,8 @@
 /// Minimum headroom of best-effort tasks, also beside serving tasks under high load.
 constexpr double minHeadroom = 0.05;
 
-/// Above this ratio of latency to target the pace is cut immediately, regardless of the model.
+/// Above this ratio of latency to target, the interference at the present paces is reduced to this
+/// fraction with each report, whatever headroom the model sees.
 constexpr double overTargetRatio = 1.0;
 constexpr double overTargetCut = 0.4;
 
@@ -24,9 +27,6 @@
 constexpr double nearTargetRatio = 0.7;
 constexpr double nearTargetPressure = 0.7;
 
-/// A best-effort image that causes less than this fraction of the interference is not slowed down.
-constexpr double minAttributedFraction = 0.15;
-
 constexpr int paceStepPercent = 10;
 
 /// A run below this pace is paused, because its progress does not justify its interference.
@@ -36,6 +36,9 @@
 constexpr int slowPacePercent = 60;
 constexpr duration slowLimit = 800ms;
 
+/// A serving task over its target for this time is logged with each report, beside best effort.
+constexpr duration loggedTimeOverTarget = 1500ms;
+
 /// Maximum number of runs moved away from a worker per report.
 constexpr int maxMovesPerReport = 4;
 
@@ -68,6 +71,38 @@
     }
 }
 
+// Returns pace and used share of each best-effort image on the worker, as text.
+std::string describeBestEffort(const worker_record &worker)
+{
+    std::string text;
+    for (const auto &[image, bestEffort] : worker.bestEffort)
+        text += fmt::format("{}{}:{}:{:.2f}", text.empty() ? "" : ",", image,
+                            bestEffort.pacePercent, bestEffort.usedShare);
+    return text;
+}
+
+// Notes since when serving tasks are over their target, and logs those that are for long.
+void noteTimeOverTarget(scheduler_state &state, worker_record &worker)
+{
+    for (auto &[image, serving] : worker.serving) {
+        if (serving.latencyRatio <= overTargetRatio) {
+            serving.overTargetSince.reset();
+            continue;
+        }
+        serving.overTargetSince = serving.overTargetSince.value_or(state.now);
+        const duration time = state.now - *serving.overTargetSince;
+        if (time < loggedTimeOverTarget || worker.bestEffort.empty())
+            continue;
+        state.logDetail("over_target", [&, &image = image, &serving = serving] {
+            return fmt::format("worker={} image={} over_ms={} latency_ratio={:.2f} load={:.2f} "
+                               "pressure={:.2f} best_effort={}",
+                               worker.info.id.value, image, time / 1ms, serving.latencyRatio,
+                               serving.load, bestEffortPressure(worker),
+                               describeBestEffort(worker));
+        });
+    }
+}
+
 // Returns the processor shares that the worker's best-effort images used. The result is a shared
 // buffer, valid until the next call of this function or wantedShares().
 const std::vector<interfering_share> &usedShares(scheduler_state &state,
@@ -111,24 +146,69 @@
     return std::max(minHeadroom, model.targetUtilisation(serving) - load);
 }
 
-// Returns the pace at which the interference of the image stays within the headroom of the serving
-// tasks. The worker's budgets must be up to date.
-int sustainablePace(const interference_model &model, const worker_record &worker,
-                    const best_effort_image &bestEffort)
+// Returns the utilisation that each best-effort image of the worker would add to the serving image
+// at full pace, in the order of the images.
+std::vector<double> interferenceOn(const interference_model &model, const worker_record &worker,
+                                   int serving)
 {
-    const double share = double(bestEffort.wantedMilliCores) / capacityOf(worker);
-    double factor = 1;
-    auto budget = worker.budgets.begin();
+    std::vector<double> added;
+    added.reserve(worker.bestEffort.size());
+    for (const auto &[image, bestEffort] : worker.bestEffort)
+        added.push_back(model.coefficient(bestEffort.image, serving)
+                        * double(bestEffort.wantedMilliCores) / capacityOf(worker));
+    return added;
+}
+
+// Returns the present paces of the worker's best-effort images as fractions, in the order of the
+// images.
+std::vector<double> presentPaces(const worker_record &worker)
+{
+    std::vector<double> paces;
+    paces.reserve(worker.bestEffort.size());
+    for (const auto &[image, bestEffort] : worker.bestEffort)
+        paces.push_back(bestEffort.pacePercent / 100.0);
+    return paces;
+}
+
+// Lowers the paces until the images add at most \p limit to the utilisation of a serving image.
+// \p added is what they add at full pace. The images share the limit by max-min fairness: those
+// that add the most are slowed down to the same addition, the others are not.
+void limitPaces(const std::vector<double> &added, double limit, std::vector<double> &paces)
+{
+    std::vector<double> present;
+    present.reserve(paces.size());
+    for (std::size_t i = 0; i < paces.size(); ++i)
+        present.push_back(added[i] * paces[i]);
+    const double highest = fairShare(present, limit);
+    for (std::size_t i = 0; i < paces.size(); ++i) {
+        if (present[i] > highest)
+            paces[i] = highest / added[i];
+    }
+}
+
+// Returns the paces at which the interference stays within the headroom of each serving image, as
+// fractions, in the order of the best-effort images.
+std::vector<double> sustainablePaces(const interference_model &model, const worker_record &worker)
+{
+    std::vector<double> paces(worker.bestEffort.size(), 1.0);
     for (const auto &[name, serving] : worker.serving) {
-        const double demand = (budget++)->addedUtilisation;
-        const double own = model.coefficient(bestEffort.image, serving.image) * share;
-        if (demand <= 0 || own < demand * minAttributedFraction)
+        const std::vector<double> added = interferenceOn(model, worker, serving.image);
+        limitPaces(added, headroom(model, serving.image, serving.load), paces);
+        if (serving.latencyRatio <= overTargetRatio)
             continue;
-        factor = std::min(factor, headroom(model, serving.image, serving.load) / demand);
-        if (serving.latencyRatio > overTargetRatio)
-            factor = std::min(factor, bestEffort.pacePercent * overTargetCut / 100);
+        std::vector<double> cut = presentPaces(worker);
+        const double present = std::inner_product(added.begin(), added.end(), cut.begin(), 0.0);
+        limitPaces(added, present * overTargetCut, cut);
+        std::transform(paces.begin(), paces.end(), cut.begin(), paces.begin(),
+                       [](double a, double b) { return std::min(a, b); });
     }
-    const int percent = int(factor * 100) / paceStepPercent * paceStepPercent;
+    return paces;
+}
+
+// Rounds a pace down to the steps in which paces change.
+int toPercent(double pace)
+{
+    const int percent = int(pace * 100) / paceStepPercent * paceStepPercent;
     return percent < minPacePercent ? 0 : percent;
 }
 
@@ -314,11 +394,13 @@
     aggregateMeasurements(worker);
     learn(state, worker);
     updateBudgets(state, worker);
+    noteTimeOverTarget(state, worker);
     if (worker.bestEffort.empty())
         return;
+    const std::vector<double> paces = sustainablePaces(state.interference, worker);
+    auto pace = paces.begin();
     for (auto &[image, bestEffort] : worker.bestEffort)
-        setPace(state, worker, image, bestEffort,
-                sustainablePace(state.interference, worker, bestEffort));
+        setPace(state, worker, image, bestEffort, toPercent(*pace++));
     for (const auto &[name, run] : worker.runs) {
         if (run.bestEffort != nullptr)
             sendPace(state, worker, name, *run.task, paceOf(worker, run));
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -212,6 +212,8 @@
     double meanRatio = 0; ///< Mean ratio of tail latency to target, as last reported.
     bool isLoadKnown = false;
     double load = 0; ///< Utilisation caused by the requests of the tasks' own users.
+    /// Since which report a task has been over its latency target; nothing if none was in the last.
+    std::optional<instant> overTargetSince;
 };
 
 /// How much interference the tasks of one serving image on a worker tolerate, and how much the
--- a/test/failure/scheduler_harm_test.cpp
+++ b/test/failure/scheduler_harm_test.cpp
@@ -2,6 +2,7 @@
 // on the same worker, after many tasks of both kinds have started there at once.
 
 #include "correctness/scheduler_interfering_burst.h"
+#include "scheduler/fair_share.h"
 
 #include <gtest/gtest.h>
 
@@ -163,7 +164,7 @@
 // the whole.
 std::vector<best_effort_kind> twoLargeAndFourSmall()
 {
-    return {{"large-a", 2, 1800, 6.0},  {"large-b", 2, 1800, 6.0},  {"small-a", 1, 1750, 1.5},
+    return {{"large-a", 2, 1800, 6.0},  {"large-b", 2, 1800, 6.0}, {"small-a", 1, 1750, 1.5},
             {"small-b", 2, 1650, 0.75}, {"small-c", 1, 1750, 1.5}, {"small-d", 1, 1750, 1.5}};
 }
 
@@ -214,8 +215,8 @@
             const double coefficient = random.fraction() < 0.5 ? 0.2 : 6 * random.fraction();
             kinds.push_back({fmt::format("image-{}", i), 1 + i % 2, 1750, coefficient});
             if (random.fraction() < 0.6)
-                model += fmt::format("image-{} serving-{} {:.3f}\n", i, i % 3,
-                                     6 * random.fraction());
+                model
+                    += fmt::format("image-{} serving-{} {:.3f}\n", i, i % 3, 6 * random.fraction());
         }
         crowded_worker worker(kinds);
         worker.takeOver(model);
@@ -237,3 +238,13 @@
     EXPECT_GT(worker.progressOf("light"), 0.9);
     EXPECT_GT(worker.progressOf("large"), 0.05);
 }
+
+TEST(FairShare, SmallDemandsAreMetAndTheOthersShareTheRest)
+{
+    EXPECT_DOUBLE_EQ(fairShare({6, 1, 6}, 5), 2);
+    EXPECT_DOUBLE_EQ(fairShare({4, 4, 4, 4}, 4), 1);
+    EXPECT_DOUBLE_EQ(fairShare({3, 1}, 0), 0);
+    EXPECT_GE(fairShare({1, 3}, 4), 3);
+    EXPECT_GE(fairShare({0, 0}, 0), 0);
+    EXPECT_GE(fairShare({}, 1), 0);
+}
