--- a/test/failure/scheduler_claims_test.cpp
+++ b/test/failure/scheduler_claims_test.cpp
@@ -230,3 +230,118 @@
     EXPECT_EQ(longestAbsence(firstTask, 12s).count(), 0);
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
+
+// There is just the room that the tasks of two draining workers need, and other work arrives while
+// they are being stopped.
+TEST_F(Claims, AreNotTakenByWorkThatArrivesMeanwhile)
+{
+    for (int i = 0; i < 4; ++i)
+        addWorker(fmt::format("w{}", i));
+    takeOver();
+    submit(continuousJob("a", 4, 2000));
+    world.run(1s);
+    for (auto &[id, worker] : world.workers) {
+        if (!worker.runs.empty())
+            drain(worker);
+    }
+    world.run(60ms);
+    finiteRunTime = [](const task_name &) { return 4s; };
+    job_spec job = plainJob("finite", 40);
+    job.steps[0].expectedRunMs = 60000;
+    submit(job);
+    EXPECT_LE(longestAbsence(firstTask, 5s).count(), moveTime.count());
+    for (int i = 0; i < 4; ++i)
+        EXPECT_NE(workerOf({{"a"}, 0, 0, i}), nullptr) << i;
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// The worker of a task that is to move does not answer the stop. Other work gets the place.
+TEST_F(Claims, OfTasksThatDoNotStopAreGivenUp)
+{
+    addWorker("w0");
+    addWorker("w1");
+    takeOver();
+    submit(continuousJob("a", 1, 2000));
+    world.run(1s);
+    fake_worker &from = *workerOf(firstTask);
+    owner->unreachableWorkers.insert(from.info.id);
+    drain(from);
+    world.run(100ms);
+    job_spec job = plainJob("finite", 1);
+    job.steps[0].size.milliCores = workerCapacity.milliCores;
+    submit(job);
+    world.run(500ms);
+    EXPECT_EQ(world.starts.count({job.name, 0, 0, 0}), 0U); // The place is still kept.
+    world.run(4s);
+    EXPECT_EQ(world.starts.count({job.name, 0, 0, 0}), 1U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// A host owns the jobs again after it had given them up while room was kept.
+TEST_F(Claims, EndWithTheOwnership)
+{
+    addWorker("w0");
+    addWorker("w1");
+    takeOver();
+    submit(continuousJob("a", 1, 2000));
+    world.run(1s);
+    evacuate(firstTask);
+    owner->core.giveUp(world.now);
+    world.run(100ms);
+    takeOver();
+    submit(plainJob("finite", 40));
+    world.run(5s);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+    EXPECT_NE(workerOf(firstTask), nullptr);
+}
+
+// Stops and starts of many tasks at once would delay all other work.
+TEST_F(Claims, MoveFewTasksAtATime)
+{
+    constexpr int maxMoves = 4; // Of a small fleet.
+    for (int i = 0; i < 16; ++i)
+        addWorker(fmt::format("w{}", i));
+    takeOver();
+    submit(continuousJob("a", 32, 1000));
+    world.run(1s);
+    for (auto &[id, worker] : world.workers) {
+        if (!worker.runs.empty())
+            drain(worker);
+    }
+    std::size_t moved = 0;
+    for (int i = 0; i < 1000; ++i) {
+        world.run(5ms);
+        std::int64_t stopping = 0;
+        moved = 0;
+        for (auto &[id, worker] : world.workers) {
+            world.endDueRuns(worker);
+            stopping += std::count_if(worker.runs.begin(), worker.runs.end(),
+                                      [](const auto &run) { return run.second.isStopping; });
+            moved += worker.info.isDraining ? 0 : worker.runs.size();
+        }
+        ASSERT_LE(stopping, maxMoves);
+    }
+    EXPECT_EQ(moved, 32U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// The next owner would have to wait for reports before it could start what this one stops last.
+TEST_F(Claims, MoveNoTaskWhileTheOwnershipIsHandedOver)
+{
+    addWorker("w0");
+    addWorker("w1");
+    takeOver();
+    submit(continuousJob("a", 1, 2000));
+    world.run(1s);
+    fake_worker &from = *workerOf(firstTask);
+    world.storeDelay = 300ms;
+    submit(plainJob("finite", 1));
+    EXPECT_FALSE(owner->core.prepareHandover(world.now));
+    drain(from);
+    while (!owner->core.prepareHandover(world.now)) {
+        world.run(10ms);
+        EXPECT_EQ(workerOf(firstTask), &from);
+        EXPECT_FALSE(from.runs.at(firstTask).isStopping);
+    }
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
