--- a/test/failure/scheduler_claims_test.cpp
+++ b/test/failure/scheduler_claims_test.cpp
@@ -27,9 +27,9 @@
 }
 
 /// A small fleet, of which each event is chosen.
-struct Claims : testing::Test
+struct claims : testing::Test
 {
-    Claims()
+    claims()
         : owner(&world.addHost("host-1"))
     {
         world.runTime = [this](const task_name &task) {
@@ -116,7 +116,7 @@
 } // namespace
 
 // The queue is sent to another service while a task on its way has a place in the former one.
-TEST_F(Claims, AreGivenUpIfTheQueueGoesToAnotherService)
+TEST_F(claims, AreGivenUpIfTheQueueGoesToAnotherService)
 {
     addWorker("w0");
     addWorker("w1");
@@ -132,7 +132,7 @@
 }
 
 // label that the task requires.
-TEST_F(Claims, AreGivenUpIfTheWorkerMayNoLongerRunTheTask)
+TEST_F(claims, AreGivenUpIfTheWorkerMayNoLongerRunTheTask)
 {
     for (const bool isServiceChanged : {false, true}) {
         fake_worker &first = addWorker(fmt::format("w0-{}", isServiceChanged));
@@ -160,7 +160,7 @@
 }
 
 // A task of one service finds no room at all. That says nothing about another service.
-TEST_F(Claims, OfOneServiceDoNotDependOnAnother)
+TEST_F(claims, OfOneServiceDoNotDependOnAnother)
 {
     for (const char *service : {"pool", "other"}) {
         for (int i = 0; i < 4; ++i)
@@ -193,7 +193,7 @@
 }
 
 // for seconds. Its own worker drains for longer than that.
-TEST_F(Claims, AreNotUsedForTasksThatCouldNotStart)
+TEST_F(claims, AreNotUsedForTasksThatCouldNotStart)
 {
     for (int i = 0; i < 4; ++i)
         addWorker(fmt::format("w{}", i));
@@ -215,7 +215,7 @@
 }
 
 // A worker stays longer than it announced, and the store is slow.
-TEST_F(Claims, ASlowStoreEndsNoRunsOfWorkersThatStay)
+TEST_F(claims, ASlowStoreEndsNoRunsOfWorkersThatStay)
 {
     fake_worker &worker = addWorker("w0");
     takeOver();
@@ -233,7 +233,7 @@
 
 // There is just the room that the tasks of two draining workers need, and other work arrives while
 // they are being stopped.
-TEST_F(Claims, AreNotTakenByWorkThatArrivesMeanwhile)
+TEST_F(claims, AreNotTakenByWorkThatArrivesMeanwhile)
 {
     for (int i = 0; i < 4; ++i)
         addWorker(fmt::format("w{}", i));
@@ -256,7 +256,7 @@
 }
 
 // The worker of a task that is to move does not answer the stop. Other work gets the place.
-TEST_F(Claims, OfTasksThatDoNotStopAreGivenUp)
+TEST_F(claims, OfTasksThatDoNotStopAreGivenUp)
 {
     addWorker("w0");
     addWorker("w1");
@@ -278,7 +278,7 @@
 }
 
 // A host owns the jobs again after it had given them up while room was kept.
-TEST_F(Claims, EndWithTheOwnership)
+TEST_F(claims, EndWithTheOwnership)
 {
     addWorker("w0");
     addWorker("w1");
@@ -296,7 +296,7 @@
 }
 
 // Stops and starts of many tasks at once would delay all other work.
-TEST_F(Claims, MoveFewTasksAtATime)
+TEST_F(claims, MoveFewTasksAtATime)
 {
     constexpr int maxMoves = 4; // Of a small fleet.
     for (int i = 0; i < 16; ++i)
@@ -326,7 +326,7 @@
 }
 
 // The next owner would have to wait for reports before it could start what this one stops last.
-TEST_F(Claims, MoveNoTaskWhileTheOwnershipIsHandedOver)
+TEST_F(claims, MoveNoTaskWhileTheOwnershipIsHandedOver)
 {
     addWorker("w0");
     addWorker("w1");
