--- a/test/failure/scheduler_claims_test.cpp
+++ b/test/failure/scheduler_claims_test.cpp
@@ -27,9 +27,9 @@
 }
 
 /// A small fleet, of which each event is chosen.
-struct Claims : testing::Test
+struct claims : testing::Test
 {
-    Claims()
+    claims()
         : owner(&world.addHost("host-1"))
     {
         world.runTime = [this](const task_name &task) {
@@ -116,7 +116,7 @@
 } // namespace
 
 // The queue is sent to another service while a task on its way has a place in the former one.
-TEST_F(Claims, AreGivenUpIfTheQueueGoesToAnotherService)
+TEST_F(claims, AreGivenUpIfTheQueueGoesToAnotherService)
 {
     addWorker("w0");
     addWorker("w1");
@@ -132,7 +132,7 @@
 }
 
 // label that the task requires.
-TEST_F(Claims, AreGivenUpIfTheWorkerMayNoLongerRunTheTask)
+TEST_F(claims, AreGivenUpIfTheWorkerMayNoLongerRunTheTask)
 {
     for (const bool isServiceChanged : {false, true}) {
         fake_worker &first = addWorker(fmt::format("w0-{}", isServiceChanged));
@@ -160,7 +160,7 @@
 }
 
 // A task of one service finds no room at all. That says nothing about another service.
-TEST_F(Claims, OfOneServiceDoNotDependOnAnother)
+TEST_F(claims, OfOneServiceDoNotDependOnAnother)
 {
     for (const char *service : {"pool", "other"}) {
         for (int i = 0; i < 4; ++i)
@@ -193,7 +193,7 @@
 }
 
 // for seconds. Its own worker drains for longer than that.
-TEST_F(Claims, AreNotUsedForTasksThatCouldNotStart)
+TEST_F(claims, AreNotUsedForTasksThatCouldNotStart)
 {
     for (int i = 0; i < 4; ++i)
         addWorker(fmt::format("w{}", i));
@@ -215,7 +215,7 @@
 }
 
 // A worker stays longer than it announced, and the store is slow.
-TEST_F(Claims, ASlowStoreEndsNoRunsOfWorkersThatStay)
+TEST_F(claims, ASlowStoreEndsNoRunsOfWorkersThatStay)
 {
     fake_worker &worker = addWorker("w0");
     takeOver();
@@ -230,3 +230,118 @@
     EXPECT_EQ(longestAbsence(firstTask, 12s).count(), 0);
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
+
+// There is just the room that the tasks of two draining workers need, and other work arrives while
+// they are being stopped.
+TEST_F(claims, AreNotTakenByWorkThatArrivesMeanwhile)
+{
+    for (int i = 0; i < 4; ++i)
+        addWorker(fmt::format("w{}", i));
+    takeOver();
+    submit(continuousJob("a", 4, 2000));
+    world.run(1s);
+    for (auto &[id, worker] : world.workers) {
+        if (!worker.runs.empty())
+            drain(worker);
+    }
+    world.run(60ms);
+    finiteRunTime = [](const task_name &) { return 4s; };
+    job_spec job = plainJob("finite", 40);
+    job.steps[0].expectedRunMs = 60000;
+    submit(job);
+    EXPECT_LE(longestAbsence(firstTask, 5s).count(), moveTime.count());
+    for (int i = 0; i < 4; ++i)
+        EXPECT_NE(workerOf({{"a"}, 0, 0, i}), nullptr) << i;
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// The worker of a task that is to move does not answer the stop. Other work gets the place.
+TEST_F(claims, OfTasksThatDoNotStopAreGivenUp)
+{
+    addWorker("w0");
+    addWorker("w1");
+    takeOver();
+    submit(continuousJob("a", 1, 2000));
+    world.run(1s);
+    fake_worker &from = *workerOf(firstTask);
+    owner->unreachableWorkers.insert(from.info.id);
+    drain(from);
+    world.run(100ms);
+    job_spec job = plainJob("finite", 1);
+    job.steps[0].size.milliCores = workerCapacity.milliCores;
+    submit(job);
+    world.run(500ms);
+    EXPECT_EQ(world.starts.count({job.name, 0, 0, 0}), 0U); // The place is still kept.
+    world.run(4s);
+    EXPECT_EQ(world.starts.count({job.name, 0, 0, 0}), 1U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// A host owns the jobs again after it had given them up while room was kept.
+TEST_F(claims, EndWithTheOwnership)
+{
+    addWorker("w0");
+    addWorker("w1");
+    takeOver();
+    submit(continuousJob("a", 1, 2000));
+    world.run(1s);
+    evacuate(firstTask);
+    owner->core.giveUp(world.now);
+    world.run(100ms);
+    takeOver();
+    submit(plainJob("finite", 40));
+    world.run(5s);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+    EXPECT_NE(workerOf(firstTask), nullptr);
+}
+
+// Stops and starts of many tasks at once would delay all other work.
+TEST_F(claims, MoveFewTasksAtATime)
+{
+    constexpr int maxMoves = 4; // Of a small fleet.
+    for (int i = 0; i < 16; ++i)
+        addWorker(fmt::format("w{}", i));
+    takeOver();
+    submit(continuousJob("a", 32, 1000));
+    world.run(1s);
+    for (auto &[id, worker] : world.workers) {
+        if (!worker.runs.empty())
+            drain(worker);
+    }
+    std::size_t moved = 0;
+    for (int i = 0; i < 1000; ++i) {
+        world.run(5ms);
+        std::int64_t stopping = 0;
+        moved = 0;
+        for (auto &[id, worker] : world.workers) {
+            world.endDueRuns(worker);
+            stopping += std::count_if(worker.runs.begin(), worker.runs.end(),
+                                      [](const auto &run) { return run.second.isStopping; });
+            moved += worker.info.isDraining ? 0 : worker.runs.size();
+        }
+        ASSERT_LE(stopping, maxMoves);
+    }
+    EXPECT_EQ(moved, 32U);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// The next owner would have to wait for reports before it could start what this one stops last.
+TEST_F(claims, MoveNoTaskWhileTheOwnershipIsHandedOver)
+{
+    addWorker("w0");
+    addWorker("w1");
+    takeOver();
+    submit(continuousJob("a", 1, 2000));
+    world.run(1s);
+    fake_worker &from = *workerOf(firstTask);
+    world.storeDelay = 300ms;
+    submit(plainJob("finite", 1));
+    EXPECT_FALSE(owner->core.prepareHandover(world.now));
+    drain(from);
+    while (!owner->core.prepareHandover(world.now)) {
+        world.run(10ms);
+        EXPECT_EQ(workerOf(firstTask), &from);
+        EXPECT_FALSE(from.runs.at(firstTask).isStopping);
+    }
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
