Require that the runs in the tests of waits yield

The preconditions of two tests have asked for a pace of at most 10% since, because a yielding run may be paused. An ordinary run may be paused as well, so they would also have held for a run that doesn't yield.

The simulated host keeps the fields of the log lines on starts, and the tests ask in addition that the last start of the task has yields=true.

--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -131,6 +131,7 @@
     std::vector<std::string> events; ///< Names of logged events.
     std::vector<std::string> absences; ///< Fields of the logged events `task_absent`.
     std::vector<std::string> waits; ///< Fields of the logged events `job_waiting`.
+    std::vector<std::string> starts; ///< Fields of the logged events `start`.
 
 private:
     template <class command_type, class executor, class receiver>
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -218,6 +218,8 @@
         absences.push_back(fields);
     if (event == "job_waiting")
         waits.push_back(fields);
+    if (event == "start")
+        starts.push_back(fields);
 }
 
 inline void fake_host::logDetail(const std::string &event, const std::string &fields)
--- a/test/failure/scheduler_waits_test.cpp
+++ b/test/failure/scheduler_waits_test.cpp
@@ -78,6 +78,17 @@
         return nullptr;
     }
 
+    // Returns true if the last run of the task was started as one that yields.
+    bool hasYieldingRun(const task_name &task) const
+    {
+        const std::string field = fmt::format(" task={} ", toString(task));
+        const std::vector<std::string> &starts = load.owner.starts;
+        const auto last = std::find_if(starts.rbegin(), starts.rend(), [&](const auto &fields) {
+            return fields.find(field) != std::string::npos;
+        });
+        return last != starts.rend() && last->find(" yields=true") != std::string::npos;
+    }
+
     std::map<std::string, duration> runTimes; ///< Other than the default, by job and step.
     interfering_burst load;
     int steps = 0;
@@ -123,7 +134,8 @@
     fake_worker *const first = site.workerOf("a");
     ASSERT_NE(first, nullptr);
     const task_name task{{"a"}, 0, 0, 0};
-    ASSERT_LE(first->pacePercents.at(task), 10); // It yields.
+    ASSERT_TRUE(site.hasYieldingRun(task));
+    ASSERT_LE(first->pacePercents.at(task), 10);
     world.addWorker("w6", "rack-1", {10000, 64000, 0});
     const instant end = world.now + 20s;
     bool isPaused = true;
@@ -169,7 +181,8 @@
     const fake_worker *const own = site.workerOf("a");
     ASSERT_NE(own, nullptr);
     const task_name task{{"a"}, 0, 0, 0};
-    ASSERT_LE(own->pacePercents.at(task), 10); // It yields.
+    ASSERT_TRUE(site.hasYieldingRun(task));
+    ASSERT_LE(own->pacePercents.at(task), 10);
     for (const instant end = world.now + 60s; world.now < end;) {
         for (auto &[id, worker] : world.workers) {
             for (const auto &[name, run] : worker.runs) {
