Store the leases that a restarted worker may hold for longer

A worker that crashes and is back before its next poll has failed gets starts with a deadline on its former clock. Its new life shortens it to its longest lease, 10 s.

The stored list of workers names these leases with the time left, in lines that earlier builds skip. It is written as soon as a restart is learnt, every second while the lease lasts, and without it afterwards. A planned hand-over stores it even after the 0.5 s for other changes. A later owner waits for the later of this bound and of the authority of earlier owners, dates it by the witnesses of the list, and passes it on.

Why nothing runs twice: deadlines on the clock of a worker's present life end with the authority of the owner that gave them. Those on a former clock are sent before that owner learns of the restart, and a worker shortens each to 10 s, so they end 10 s after that. Every list from then on names this or a later end: an owner that has served writes its own bound, and one that can't date the list it found passes its entries, times and witnesses on unchanged unless it has learnt of a restart itself. A bound shortens only by the age of the list, which the witnesses underestimate. Not covered, as before: an owner that dies before the list is durable (within 60 ms and a write after the start's answer while the store answers), a clock that is 2% slow (0.2 s of the 10 s), an owner of an earlier build in between, and a command that arrives after the owner has learnt of the restart.

--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -365,6 +365,12 @@
 
 } // namespace
 
+bool isHandoverFlushOver(const scheduler_state &state)
+{
+    return state.isHandingOver && state.now >= state.handoverFlushUntil
+        && !isMisdirectedLeaseUnstored(state);
+}
+
 bool isLeavingRecordDue(const scheduler_state &state)
 {
     return std::any_of(state.leavingDue.begin(), state.leavingDue.end(),
@@ -405,7 +411,7 @@
 {
     if (state.isCommitting || !state.isOwner || state.now < state.nextCommitAt)
         return;
-    if (state.isHandingOver && state.now >= state.handoverFlushUntil)
+    if (isHandoverFlushOver(state))
         return;
     const bool isConfirmDue = state.now >= state.nextConfirmAt;
     const bool hasChanges
--- a/packages/scheduler/commit_log.h
+++ b/packages/scheduler/commit_log.h
@@ -6,6 +6,10 @@
 
 namespace crocuswind::scheduler {
 
+/// Returns true if an owner that hands over leaves further changes to its successor. It always
+/// stores what the successor can't learn from the workers in time.
+bool isHandoverFlushOver(const scheduler_state &state);
+
 /// Returns true if the leaving record of any worker is to be written or removed by now.
 bool isLeavingRecordDue(const scheduler_state &state);
 
--- a/packages/scheduler/former_list.cpp
+++ b/packages/scheduler/former_list.cpp
@@ -5,7 +5,8 @@
 namespace crocuswind::scheduler {
 
 former_list::former_list(const worker_list &list, instant writtenBy)
-    : m_writtenAt(list.writtenAt)
+    : m_misdirected(list.misdirected)
+    , m_writtenAt(list.writtenAt)
     , m_witnesses(list.witnesses)
     , m_writtenBy(writtenBy)
 {
@@ -41,9 +42,9 @@
     return found == m_silent.end() ? nullptr : &found->second;
 }
 
-instant former_list::lapseOf(const silent_lease &lease) const
+instant former_list::lapseAfter(std::int64_t timeLeftMs) const
 {
-    return m_writtenBy + std::chrono::milliseconds(lease.timeLeftMs);
+    return m_writtenBy + std::chrono::milliseconds(timeLeftMs);
 }
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -258,7 +258,7 @@
     const bool isFlushed
         = !i.state.isWorkerListDirty && i.state.dirtyJobs.empty() && !isLeavingRecordDue(i.state);
     return !i.state.isOwner
-        || (!i.state.isCommitting && (isFlushed || now >= i.state.handoverFlushUntil));
+        || (!i.state.isCommitting && (isFlushed || isHandoverFlushOver(i.state)));
 }
 
 void scheduler_core::setAuthority(instant now, instant authorityUntil, instant exclusiveUntil)
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -81,7 +81,7 @@
     bool isOwner = false;
     bool isDeposed = false; ///< A worker has seen a higher epoch.
     bool isHandingOver = false; ///< No call is accepted; tasks still start, and commits continue.
-    instant handoverFlushUntil; ///< Changes that are not stored by then are left to the successor.
+    instant handoverFlushUntil; ///< Most changes not stored by then are left to the successor.
     std::int64_t epoch = 0;
     instant tookOverAt; ///< Start of the ownership.
     std::int64_t unixOffsetMs = 0; ///< Unix time minus `now`, in milliseconds.
--- a/packages/scheduler/silent_workers.cpp
+++ b/packages/scheduler/silent_workers.cpp
@@ -37,13 +37,19 @@
     return isLeaseInherited(state, worker) ? state.formerList.find(worker.info.id) : nullptr;
 }
 
+// Returns the time from now until \p end in milliseconds, rounded up, or 0 if it has passed.
+std::int64_t timeLeftMs(const scheduler_state &state, instant end)
+{
+    const duration timeLeft = std::max(end - state.now, duration::zero());
+    return std::chrono::ceil<std::chrono::milliseconds>(timeLeft).count();
+}
+
 silent_lease silentLeaseOf(const scheduler_state &state, const worker_record &worker)
 {
-    const duration timeLeft = std::max(worker.lease.lapsesBy() - state.now, duration::zero());
     silent_lease lease;
     lease.worker = worker.info.id;
     lease.lastEpoch = worker.lease.isGranted() ? state.epoch : worker.lastLeaseEpoch;
-    lease.timeLeftMs = std::chrono::ceil<std::chrono::milliseconds>(timeLeft).count();
+    lease.timeLeftMs = timeLeftMs(state, worker.lease.lapsesBy());
     return lease;
 }
 
@@ -79,17 +85,35 @@
     return chosen;
 }
 
+// Returns true if this owner has learnt of a restart of the worker.
+bool hasRestarted(const scheduler_state &state, const worker_record &worker)
+{
+    return worker.lastLeaseEpoch == state.epoch;
+}
+
 // An owner that has not heard from a witness cannot tell how old the list is that it found. Returns
 // true if it is to store what that list says unchanged, so that a later owner can tell.
 bool isCarriedOn(const scheduler_state &state)
 {
     return state.formerList.isUndated()
         && std::all_of(state.workers.begin(), state.workers.end(), [&](const auto &entry) {
-               return !isSilent(state, entry.second)
-                   || inheritedLeaseOf(state, entry.second) != nullptr;
+               const worker_record &worker = entry.second;
+               const bool isSilentAsFound
+                   = !isSilent(state, worker) || inheritedLeaseOf(state, worker) != nullptr;
+               return isSilentAsFound && !hasRestarted(state, worker);
            });
 }
 
+std::vector<misdirected_lease> misdirectedLeases(const scheduler_state &state)
+{
+    std::vector<misdirected_lease> leases;
+    for (const auto &[id, worker] : state.workers) {
+        if (const auto until = worker.lease.misdirectedUntil())
+            leases.push_back({id, timeLeftMs(state, *until)});
+    }
+    return leases;
+}
+
 owner_moment presentMoment(const scheduler_state &state)
 {
     const auto clock = state.now.time_since_epoch();
@@ -99,6 +123,9 @@
 // Returns true if the stored list has to change because of the worker.
 bool needsStoring(const scheduler_state &state, const worker_record &worker)
 {
+    const auto misdirectedUntil = worker.lease.misdirectedUntil();
+    if (misdirectedUntil && (state.now >= state.nextSilentListAt || state.now > *misdirectedUntil))
+        return true;
     if (isSilent(state, worker)) {
         const bool isTimeLeftDue
             = state.now >= state.nextSilentListAt && !worker.lease.hasLapsed(state.now);
@@ -117,6 +144,14 @@
         || (worker.failedPolls > 0 && state.now - worker.lastReportAt >= longestReportAge);
 }
 
+bool isMisdirectedLeaseUnstored(const scheduler_state &state)
+{
+    return state.isWorkerListDirty
+        && std::any_of(state.workers.begin(), state.workers.end(), [](const auto &entry) {
+               return entry.second.lease.misdirectedUntil().has_value();
+           });
+}
+
 void reviewSilentWorkers(scheduler_state &state)
 {
     // Without the store no list can be stored, and one in flight would hold back leases of workers
@@ -135,6 +170,7 @@
     list.writtenAt = isCarried ? state.formerList.writtenAt() : presentMoment(state);
     for (auto &[id, worker] : state.workers) {
         list.workers.push_back({id, worker.info.address});
+        worker.lease.dropLapsedMisdirected(state.now);
         if (!isSilent(state, worker))
             continue;
         list.silent.push_back(isCarried ? *inheritedLeaseOf(state, worker)
@@ -142,10 +178,13 @@
         if (!std::exchange(worker.isStoredAsSilent, true))
             state.noteWorkerChanged(worker);
     }
+    list.misdirected = isCarried ? state.formerList.misdirected() : misdirectedLeases(state);
     state.nextSilentListAt = state.now + silentListInterval;
-    if (list.silent.empty())
+    if (list.silent.empty() && list.misdirected.empty())
         return list;
     list.witnesses = isCarried ? state.formerList.witnesses() : chooseWitnesses(state);
+    if (list.silent.empty())
+        return list;
     state.ports.log("silent_workers_stored",
                     fmt::format("silent={} workers={} first={} last_lease_epoch={} time_left_ms={} "
                                 "witnesses={} is_carried_on={}",
@@ -193,6 +232,13 @@
         ? std::min(state.now, authority.latestTimeOf(*list.writtenAt).value_or(state.now))
         : state.now;
     state.formerList = former_list(list, writtenBy);
+    // Workers shorten all leases, so that none ends later than this.
+    const instant latestEnd = state.now + state.settings.longestLease;
+    for (const misdirected_lease &lease : list.misdirected) {
+        if (worker_record *worker = state.findWorker(lease.worker))
+            worker->lease.limitMisdirectedLapse(
+                std::min(state.formerList.lapseOf(lease), latestEnd));
+    }
     for (const silent_lease &lease : list.silent) {
         worker_record *worker = state.findWorker(lease.worker);
         if (worker == nullptr)
@@ -221,8 +267,12 @@
     for (const auto &[id, lease] : state.formerList.silent()) {
         worker_record *worker = state.findWorker(id);
         if (worker != nullptr && isLeaseInherited(state, *worker))
-            worker->lease.limitLapse(
-                std::min(worker->lease.lapsesBy(), state.formerList.lapseOf(lease)));
+            worker->lease.tightenLapse(state.formerList.lapseOf(lease));
+    }
+    for (const misdirected_lease &lease : state.formerList.misdirected()) {
+        worker_record *found = state.findWorker(lease.worker);
+        if (found != nullptr && !hasRestarted(state, *found))
+            found->lease.tightenMisdirectedLapse(state.formerList.lapseOf(lease));
     }
 }
 
--- a/packages/scheduler/silent_workers.h
+++ b/packages/scheduler/silent_workers.h
@@ -12,8 +12,13 @@
 /// lapsed and its runs are given up, so that a later owner need not wait for it either.
 bool isSilent(const scheduler_state &state, const worker_record &worker);
 
+/// Returns true if the list to be stored names a lease by commands meant for an earlier incarnation
+/// of a worker. A later owner that does not know of it may start tasks of that worker too early.
+bool isMisdirectedLeaseUnstored(const scheduler_state &state);
+
 /// Has the list of workers stored when a worker has become silent, when one that is stored as
-/// silent answers again, and at intervals while the lease of a silent one lasts.
+/// silent answers again, and at intervals while the lease of a silent one or one by commands meant
+/// for an earlier incarnation lasts.
 void reviewSilentWorkers(scheduler_state &state);
 
 /// Returns the list of workers to store now. The workers that it names as silent get no lease from
--- a/packages/scheduler/worker_list.cpp
+++ b/packages/scheduler/worker_list.cpp
@@ -12,6 +12,9 @@
 /// Far longer than any lease.
 constexpr std::int64_t maxTimeLeftMs = 3600000;
 
+/// Begins the line of a misdirected lease.
+constexpr std::string_view misdirectedPrefix = " restarted/";
+
 std::vector<silent_lease> parseSilentLeases(std::string_view text)
 {
     std::vector<silent_lease> leases;
@@ -56,11 +59,44 @@
     return witness;
 }
 
+// Parses a line that begins with misdirectedPrefix. A lease whose time can't be read counts as the
+// longest one.
+std::optional<misdirected_lease> parseMisdirected(std::string_view line)
+{
+    misdirected_lease lease;
+    const char *const begin = line.data() + misdirectedPrefix.size();
+    const char *const end = line.data() + line.size();
+    const char *const slash = std::find(begin, end, '/');
+    if (slash == end || slash + 1 == end)
+        return std::nullopt;
+    lease.worker.value.assign(slash + 1, end);
+    const auto [rest, error] = std::from_chars(begin, slash, lease.timeLeftMs);
+    const bool isRead = error == std::errc() && rest == slash && lease.timeLeftMs >= 0;
+    lease.timeLeftMs = isRead ? std::min(lease.timeLeftMs, maxTimeLeftMs) : maxTimeLeftMs;
+    return lease;
+}
+
+// Parses a line that begins with a space.
+void parseDetail(std::string_view line, worker_list &list)
+{
+    if (line.substr(0, misdirectedPrefix.size()) == misdirectedPrefix) {
+        if (auto lease = parseMisdirected(line))
+            list.misdirected.push_back(std::move(*lease));
+    } else if (auto witness = parseWitness(line)) {
+        list.witnesses.push_back(std::move(*witness));
+    } else {
+        list.writtenAt = parseWrittenAt(line);
+    }
+}
+
 } // namespace
 
 std::string toText(const worker_list &list)
 {
     std::string text;
+    for (const misdirected_lease &lease : list.misdirected)
+        text.append(misdirectedPrefix)
+            += std::to_string(lease.timeLeftMs) + '/' + lease.worker.value + '\n';
     for (const clock_witness &witness : list.witnesses)
         text += ' ' + std::to_string(witness.incarnationStartUnixMs) + '/'
             + std::to_string(witness.clockMs) + '/' + witness.worker.value + '\n';
@@ -84,10 +120,7 @@
         const std::string_view line = text.substr(begin, end - begin);
         begin = end + 1;
         if (!line.empty() && line.front() == ' ') {
-            if (auto witness = parseWitness(line))
-                list.witnesses.push_back(std::move(*witness));
-            else
-                list.writtenAt = parseWrittenAt(line);
+            parseDetail(line, list);
             continue;
         }
         const std::size_t space = std::min(line.rfind(' '), line.size());
--- a/packages/scheduler/worker_list.h
+++ b/packages/scheduler/worker_list.h
@@ -43,6 +43,20 @@
     }
 };
 
+/// A lease that commands meant for an earlier incarnation of a worker may have given the present
+/// one. It may outlast the authority of the owners, because the worker compared their deadlines
+/// with a clock that had started anew.
+struct misdirected_lease
+{
+    worker_id worker;
+    std::int64_t timeLeftMs = 0; ///< As in silent_lease.
+
+    friend bool operator==(const misdirected_lease &a, const misdirected_lease &b)
+    {
+        return a.worker == b.worker && a.timeLeftMs == b.timeLeftMs;
+    }
+};
+
 /// The highest reading that a worker's clock can have had when a list was written. A reader that
 /// learns of a later reading knows for how long the list has existed at least.
 struct clock_witness
@@ -64,17 +78,19 @@
     std::vector<stored_worker> workers;
     std::vector<silent_lease> silent;
     std::optional<owner_moment> writtenAt; ///< Absent in lists of earlier builds.
-    std::vector<clock_witness> witnesses; ///< Of when it was written; none without silent leases.
+    std::vector<clock_witness> witnesses; ///< Of when it was written; none without leases.
+    std::vector<misdirected_lease> misdirected; ///< None in lists of earlier builds.
 
     friend bool operator==(const worker_list &a, const worker_list &b)
     {
         return a.workers == b.workers && a.silent == b.silent && a.writtenAt == b.writtenAt
-            && a.witnesses == b.witnesses;
+            && a.witnesses == b.witnesses && a.misdirected == b.misdirected;
     }
 };
 
-/// Formats the witnesses as lines ` incarnation/milliseconds/id`, when the list was written as a
-/// line ` epoch/milliseconds`, and one worker a line, `id address`. Earlier builds skip the lines
+/// Formats the misdirected leases as lines ` restarted/milliseconds/id`, the witnesses as lines
+/// ` incarnation/milliseconds/id`, when the list was written as a line ` epoch/milliseconds`, and
+/// one worker a line, `id address`. Earlier builds skip the lines
 /// that begin with a space, and take the last of them for the time of writing. The silent leases
 /// follow the last line end, each as `id epoch milliseconds `: builds still earlier ignore that
 /// part.
@@ -82,7 +98,8 @@
 
 /// Parses the output of toText(). Lines without a worker are skipped. If the part on silent leases
 /// is malformed it counts as empty, so that the longest possible leases are assumed; a malformed
-/// time or witness counts as absent.
+/// time or witness counts as absent, and a misdirected lease whose time is malformed as one of an
+/// hour.
 worker_list parseWorkerList(std::string_view text);
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/worker_record.cpp
+++ b/packages/scheduler/worker_record.cpp
@@ -57,7 +57,8 @@
 
 instant worker_lease::lapsesBy() const
 {
-    const instant inherited = m_inheritedUntil.value_or(instant());
+    const instant inherited
+        = std::max(m_inheritedUntil.value_or(instant()), m_misdirectedUntil.value_or(instant()));
     if (!m_reading)
         return inherited;
     const double leftMs = double(m_grantedUntilMs - m_reading->clockMs) / (1 - maxClockSlowness);
@@ -66,6 +67,24 @@
     return std::max(inherited, granted);
 }
 
+void worker_lease::dropLapsedMisdirected(instant now)
+{
+    if (m_misdirectedUntil && now > *m_misdirectedUntil)
+        m_misdirectedUntil.reset();
+}
+
+void worker_lease::tightenLapse(instant latest)
+{
+    if (m_inheritedUntil)
+        m_inheritedUntil = std::min(*m_inheritedUntil, latest);
+}
+
+void worker_lease::tightenMisdirectedLapse(instant latest)
+{
+    if (m_misdirectedUntil)
+        m_misdirectedUntil = std::min(*m_misdirectedUntil, latest);
+}
+
 bool worker_lease::isClockReset(std::int64_t clockMs, instant now) const
 {
     if (!m_reading)
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -119,16 +119,33 @@
 
     /// Returns true if the lease has certainly expired, so that no run started under it can exist.
     /// Assumes the slowest possible clock of the worker. If no clock reading is known, only the
-    /// limit set by `limitLapse()` counts.
+    /// limits set by `limitLapse()` and `limitMisdirectedLapse()` count.
     bool hasLapsed(instant now) const { return now > lapsesBy(); }
 
     /// Returns the latest time at which the lease lapses, under the same assumptions.
     instant lapsesBy() const;
 
-    /// Notes that an earlier owner or an earlier incarnation may hold a lease, which lapses at
-    /// \p latest at the latest.
+    /// Notes that an earlier owner may have granted a lease, which lapses at \p latest at the
+    /// latest.
     void limitLapse(instant latest) { m_inheritedUntil = latest; }
 
+    /// Notes that commands meant for an earlier incarnation may have given this one a lease, which
+    /// lapses at \p latest at the latest, whatever its owners have granted.
+    void limitMisdirectedLapse(instant latest) { m_misdirectedUntil = latest; }
+
+    /// Returns the latest time at which a lease by commands meant for an earlier incarnation
+    /// lapses, or nothing if there is none.
+    std::optional<instant> misdirectedUntil() const { return m_misdirectedUntil; }
+
+    /// Forgets a lease by commands meant for an earlier incarnation if it has lapsed by \p now.
+    void dropLapsedMisdirected(instant now);
+
+    /// An inherited lease lapses at \p latest at the latest.
+    void tightenLapse(instant latest);
+
+    /// A lease by commands meant for an earlier incarnation lapses at \p latest at the latest.
+    void tightenMisdirectedLapse(instant latest);
+
     /// Returns true if a clock reading is so far behind the expected one that the worker must have
     /// restarted, which resets its clock.
     bool isClockReset(std::int64_t clockMs, instant now) const;
@@ -142,6 +159,7 @@
     std::optional<reading> m_reading;
     std::int64_t m_grantedUntilMs = 0; ///< On the worker's clock.
     std::optional<instant> m_inheritedUntil;
+    std::optional<instant> m_misdirectedUntil;
 };
 
 /// Bounds the reading of a worker's clock from above.
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -257,7 +257,8 @@
     worker.completions = completion_cursor();
     worker.lease = worker_lease();
     worker.clockCeiling = clock_ceiling();
-    worker.lease.limitLapse(state.now + state.settings.longestLease);
+    worker.lease.limitMisdirectedLapse(state.now + state.settings.longestLease);
+    state.isWorkerListDirty = true; // A later owner has to know of that lease.
     worker.lastLeaseEpoch = state.epoch;
     worker.ackedCompletions = 0;
     worker.hasReported = false;
--- a/test/error/scheduler_worker_list_test.cpp
+++ b/test/error/scheduler_worker_list_test.cpp
@@ -4,6 +4,7 @@
 #include "scheduler/earlier_authority.h"
 #include "scheduler/worker_list.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 using namespace crocuswind;
@@ -12,7 +13,7 @@
 namespace {
 
 const worker_list sample{
-    {{{"w0"}, "10.0.0.1:80"}, {{"w1"}, ""}}, {{{"w1"}, 7, 5200}}, owner_moment{8, 123456}, {}};
+    {{{"w0"}, "10.0.0.1:80"}, {{"w1"}, ""}}, {{{"w1"}, 7, 5200}}, owner_moment{8, 123456}, {}, {}};
 
 worker_list withWitnesses()
 {
@@ -21,12 +22,20 @@
     return list;
 }
 
+worker_list withMisdirected()
+{
+    worker_list list = withWitnesses();
+    list.misdirected = {{{"w0"}, 9800}, {{"w/2"}, 0}};
+    return list;
+}
+
 } // namespace
 
 TEST(WorkerList, IsReadAsWritten)
 {
     EXPECT_EQ(parseWorkerList(toText(sample)), sample);
     EXPECT_EQ(parseWorkerList(toText(withWitnesses())), withWitnesses());
+    EXPECT_EQ(parseWorkerList(toText(withMisdirected())), withMisdirected());
     EXPECT_EQ(parseWorkerList(""), worker_list());
     worker_list ofEarlierBuild = sample;
     ofEarlierBuild.writtenAt.reset();
@@ -62,6 +71,35 @@
               " 1700000000123/4711/w0\n 1700000000124/3/w/2\n 8/123456\n");
 }
 
+// A host of an earlier build takes none of these lines for a witness, a worker or the time.
+TEST(WorkerList, HasTheMisdirectedLeasesBeforeTheWitnesses)
+{
+    const std::string text = toText(withMisdirected());
+    EXPECT_EQ(text, " restarted/9800/w0\n restarted/0/w/2\n" + toText(withWitnesses()));
+}
+
+TEST(WorkerList, AssumesALongMisdirectedLeaseIfItsTimeCannotBeRead)
+{
+    for (const char *bad : {"", "x", "-1", "5x", "99999999999999999999", "99999999999"}) {
+        const worker_list list
+            = parseWorkerList(fmt::format(" restarted/{}/w0\n 8/5\nw0 a\n", bad));
+        ASSERT_EQ(list.misdirected.size(), 1U) << bad;
+        EXPECT_EQ(list.misdirected[0].worker, worker_id{"w0"}) << bad;
+        EXPECT_EQ(list.misdirected[0].timeLeftMs, 3600000) << bad;
+        EXPECT_EQ(list.writtenAt, (owner_moment{8, 5})) << bad;
+    }
+}
+
+TEST(WorkerList, HasNoMisdirectedLeaseWithoutAWorker)
+{
+    for (const char *bad : {" restarted/", " restarted/5", " restarted/5/"}) {
+        const worker_list list = parseWorkerList(fmt::format("{}\n 8/5\nw0 a\n", bad));
+        EXPECT_TRUE(list.misdirected.empty()) << bad;
+        EXPECT_TRUE(list.witnesses.empty()) << bad;
+        EXPECT_EQ(list.writtenAt, (owner_moment{8, 5})) << bad;
+    }
+}
+
 // A host of an earlier build reads the lines and ignores what follows the last one.
 TEST(WorkerList, KeepsSilentLeasesOutOfTheLines)
 {
