Start nothing in data centres that the operator evacuates

Cause: no code read the operator's keys op/evacuate/ZONE, so tasks went on starting in a data centre after the operator had asked for none.

Change: each host hands the set of evacuated data centres to its core, before the first queues. Inherited tasks start only once their queue is known, and setQueues() is what makes it known, so that a new owner starts nothing without the set; it is kept from one ownership to the next. No worker there is eligible, so that claims of room there are given up as for draining workers. Finite tasks run to their end. Continuous tasks move as others have room, those of draining workers first, and never so that more tasks of the step are unavailable than maxUnavailable (0: no limit is stated). A task counts as unavailable unless it runs and its worker has reported that it started up; bindRun() kept the progress of the former run, which made a task that had just been started look available. Two log lines, a gauge and two reasons for waits.

--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -563,6 +563,12 @@
     m_implementation->scheduleCore();
 }
 
+void job_host::setEvacuatedDataCentres(const std::set<data_centre_id> &dataCentres)
+{
+    m_implementation->core.setEvacuatedDataCentres(m_implementation->loop.now(), dataCentres);
+    m_implementation->scheduleCore();
+}
+
 void job_host::onWorker(const worker_info &info)
 {
     m_implementation->workers.onWorker(info);
@@ -650,6 +656,7 @@
     i.metrics.set("crocuswind_owner", {}, i.core.isOwner() ? 1 : 0);
     i.metrics.set("crocuswind_jobs_known", {}, double(c.jobsKnown));
     i.metrics.set("crocuswind_tasks_waiting", {}, double(c.tasksWaiting));
+    i.metrics.set("crocuswind_evacuated_data_centres", {}, double(c.evacuatedDataCentres));
 }
 
 } // namespace crocuswind
--- a/packages/jobs/job_host.h
+++ b/packages/jobs/job_host.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -51,6 +52,9 @@
 
     /// Replaces the policies of all queues.
     void setQueues(const std::vector<scheduler::queue_policy> &queues);
+    /// Replaces the set of data centres in which no task may be started. Call it before the first
+    /// setQueues().
+    void setEvacuatedDataCentres(const std::set<data_centre_id> &dataCentres);
     /// Service discovery has added or changed a worker.
     void onWorker(const scheduler::worker_info &info);
     /// Service discovery has removed a worker.
--- a/packages/scheduler/absent_tasks.cpp
+++ b/packages/scheduler/absent_tasks.cpp
@@ -61,8 +61,9 @@
                   && step.step == name.step;
           });
     const bool hasNoWorker = found != state.ready.end() && found->hasNoWorker;
-    return fmt::format("reason={} position={} steps={}", hasNoWorker ? "no_worker" : "queued",
-                       found - state.ready.begin(), state.ready.size());
+    return fmt::format("reason={} position={} steps={} evacuated_data_centres={}",
+                       hasNoWorker ? "no_worker" : "queued", found - state.ready.begin(),
+                       state.ready.size(), state.evacuatedDataCentres.size());
 }
 
 std::string describeWaiting(const scheduler_state &state, const task_name &name)
--- a/packages/scheduler/evacuation.cpp
+++ b/packages/scheduler/evacuation.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <map>
 
 namespace crocuswind::scheduler {
 
@@ -38,10 +39,18 @@
     }));
 }
 
-bool isAnyDraining(const scheduler_state &state)
+// Returns true if the worker stays although its tasks are to leave it. A worker that does not
+// answer is left alone, because a stop would reach it late.
+bool isEvacuatedOnly(const scheduler_state &state, const worker_record &worker)
 {
-    return std::any_of(state.workers.begin(), state.workers.end(),
-                       [](const auto &entry) { return entry.second.info.isDraining; });
+    return !worker.info.isDraining && worker.failedPolls == 0 && isEvacuated(state, worker);
+}
+
+bool isAnyToEvacuate(const scheduler_state &state)
+{
+    return std::any_of(state.workers.begin(), state.workers.end(), [&](const auto &entry) {
+        return entry.second.info.isDraining || isEvacuatedOnly(state, entry.second);
+    });
 }
 
 /// Moves tasks until as many are on their way as may be.
@@ -60,12 +69,34 @@
         for (const auto &[name, run] : worker.runs) {
             if (m_movesLeft <= 0)
                 return;
-            if (run.step->isContinuous && run.task->phase == task_phase::running)
+            const bool isMovable = run.step->isContinuous && run.task->phase == task_phase::running;
+            if (isMovable && (worker.info.isDraining || isSpared(name, run)))
                 moveTask(worker, name, run);
         }
     }
 
 private:
+    // Returns true if the step can do without the task for the time of a move.
+    bool isSpared(const task_name &name, const bound_run &run)
+    {
+        return run.step->maxUnavailable == 0
+            || unavailableTasks(name, run) < run.step->maxUnavailable;
+    }
+
+    // Returns how many tasks of the run's step are unavailable.
+    int &unavailableTasks(const task_name &name, const bound_run &run)
+    {
+        const auto [found, isNew]
+            = m_unavailable.try_emplace({name.job, name.occurrence, name.step, 0}, 0);
+        if (isNew) {
+            const auto &tasks
+                = run.job->occurrences.at(name.occurrence).steps[std::size_t(name.step)];
+            found->second
+                = int(tasks.size()) - int(std::count_if(tasks.begin(), tasks.end(), isAvailable));
+        }
+        return found->second;
+    }
+
     void moveTask(const worker_record &worker, const task_name &name, const bound_run &run)
     {
         std::map<worker_id, int> places;
@@ -84,6 +115,8 @@
             return fmt::format("job={} task={} from={} to={}", name.job.value, toString(name),
                                worker.info.id.value, place->info.id.value);
         });
+        if (run.step->maxUnavailable > 0 && isAvailable(*run.task))
+            ++unavailableTasks(name, run);
         sendStop(m_state, name, *run.task);
         --m_movesLeft;
     }
@@ -91,6 +124,8 @@
     scheduler_state &m_state;
     worker_chooser &m_chooser;
     int m_movesLeft; ///< Number of tasks that may still be stopped.
+    /// Number of unavailable tasks of each step, by the name of its first task.
+    std::map<task_name, int> m_unavailable;
 };
 
 } // namespace
@@ -100,14 +135,19 @@
     if (state.now < state.nextEvacuationAt || !mayMove(state))
         return;
     state.nextEvacuationAt = state.now + evacuationInterval;
-    if (!isAnyDraining(state))
+    if (!isAnyToEvacuate(state))
         return;
     reviewClaims(state);
     evacuation_pass pass(state);
+    // Draining workers go first, because they leave.
     for (auto &[id, worker] : state.workers) {
         if (worker.info.isDraining)
             pass.moveTasksOf(worker);
     }
+    for (auto &[id, worker] : state.workers) {
+        if (isEvacuatedOnly(state, worker))
+            pass.moveTasksOf(worker);
+    }
 }
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/job_record.cpp
+++ b/packages/scheduler/job_record.cpp
@@ -17,6 +17,12 @@
     }
 }
 
+bool isAvailable(const task_state &task)
+{
+    constexpr int startedUp = 100;
+    return task.phase == task_phase::running && task.progressPercent == startedUp;
+}
+
 std::map<worker_id, int> countRuns(const std::vector<task_state> &tasks)
 {
     std::map<worker_id, int> runs;
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -60,6 +60,10 @@
 /// Returns true if a run of the task may exist on its worker.
 bool mayHaveRun(const task_state &task);
 
+/// Returns true if the task is available to its users: it runs, and its worker has reported that it
+/// has started up.
+bool isAvailable(const task_state &task);
+
 /// Returns how many runs of the tasks may exist on each worker.
 std::map<worker_id, int> countRuns(const std::vector<task_state> &tasks);
 
--- a/packages/scheduler/run_binding.cpp
+++ b/packages/scheduler/run_binding.cpp
@@ -66,6 +66,7 @@
     task.worker = worker.info.id;
     task.lastRun = std::max(task.lastRun, run);
     task.pacePercent = 100;
+    task.progressPercent = 0; // Until the worker has reported this run.
     task.lastPollBeforeAnswer = 0;
     task.isStopAnswered = false;
     bound_run &bound = worker.runs[name];
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -105,6 +105,35 @@
     return found == workers.end() ? nullptr : &found->second;
 }
 
+namespace {
+
+// Writes a line on each data centre that one of two sets has and the other does not.
+void logEvacuations(const scheduler_state &state, const std::set<data_centre_id> &before,
+                    const std::set<data_centre_id> &after)
+{
+    for (const data_centre_id &dataCentre : after) {
+        if (before.count(dataCentre) != 0)
+            continue;
+        std::size_t workers = 0;
+        std::size_t runs = 0;
+        for (const auto &[id, worker] : state.workers) {
+            if (worker.info.dataCentre != dataCentre)
+                continue;
+            ++workers;
+            runs += worker.runs.size();
+        }
+        state.ports.log(
+            "evacuation_begun",
+            fmt::format("data_centre={} workers={} runs={}", dataCentre.value, workers, runs));
+    }
+    for (const data_centre_id &dataCentre : before) {
+        if (after.count(dataCentre) == 0)
+            state.ports.log("evacuation_ended", "data_centre=" + dataCentre.value);
+    }
+}
+
+} // namespace
+
 struct scheduler_core::implementation
 {
     implementation(scheduler_settings settings, scheduler_ports &ports)
@@ -137,9 +166,9 @@
             pollWorkers(state);
     }
 
-    // Resets the state at the end of an ownership. The queue policies are kept. The workers are
-    // not, because they may leave before this host is elected again; service discovery reports them
-    // anew for each ownership.
+    // Resets the state at the end of an ownership. The queue policies and the evacuated data
+    // centres are kept. The workers are not, because they may leave before this host is elected
+    // again; service discovery reports them anew for each ownership.
     void resetState()
     {
         answerWaiters(state, job_outcome::not_owner);
@@ -298,6 +327,21 @@
     i.runFollowUps();
 }
 
+void scheduler_core::setEvacuatedDataCentres(instant now,
+                                             const std::set<data_centre_id> &dataCentres)
+{
+    implementation &i = *m_implementation;
+    i.setNow(now);
+    if (i.state.evacuatedDataCentres == dataCentres)
+        return;
+    logEvacuations(i.state, i.state.evacuatedDataCentres, dataCentres);
+    i.state.evacuatedDataCentres = dataCentres;
+    i.state.counters.evacuatedDataCentres = std::int64_t(dataCentres.size());
+    i.state.discardChooser(); // It caches which workers are eligible.
+    i.state.isDispatchWanted = true;
+    i.runFollowUps();
+}
+
 void scheduler_core::onWorker(instant now, const worker_info &info)
 {
     implementation &i = *m_implementation;
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,7 @@
     std::int64_t completionsFailed = 0;
     std::int64_t runsLost = 0; ///< Runs that disappeared without a completion report.
     std::int64_t jobsKnown = 0; ///< Gauge.
+    std::int64_t evacuatedDataCentres = 0; ///< Gauge.
     std::int64_t tasksWaiting = 0; ///< Gauge, as of the last dispatch.
     std::int64_t jobsUncommitted = 0; ///< Gauge: jobs with changes that are not durable yet.
                                       /// Gauge: workers without a report since the takeover, whose
@@ -101,6 +103,11 @@
     /// Replaces the policies of all queues.
     void setQueues(instant now, const std::vector<queue_policy> &queues);
 
+    /// Replaces the set of evacuated data centres: no task is started on their workers, and
+    /// continuous tasks leave them as far as other workers have room. Call it before the first
+    /// setQueues(), because a new owner starts inherited tasks as soon as it knows their queues.
+    void setEvacuatedDataCentres(instant now, const std::set<data_centre_id> &dataCentres);
+
     /// Service discovery has added or changed this worker.
     void onWorker(instant now, const worker_info &info);
 
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -94,6 +94,8 @@
 
     std::map<queue_id, queue_policy> queues;
     bool areQueuesKnown = false; ///< This host has read a configuration.
+    /// No task is started there. Kept when the ownership changes, like the queues.
+    std::set<data_centre_id> evacuatedDataCentres;
     std::unordered_map<job_name, std::unique_ptr<job_record>> jobs;
     /// Superset of the jobs of which no task has started. Other jobs are removed when the waiting
     /// jobs are counted.
--- a/packages/scheduler/waiting_jobs.cpp
+++ b/packages/scheduler/waiting_jobs.cpp
@@ -65,13 +65,14 @@
     state.ports.log(
         "job_waiting",
         fmt::format("job={} occurrence={} step={} waiting_ms={} useful={} best_effort={} "
-                    "no_worker={} position={} workers={} not_eligible={} label={} task_limit={} "
+                    "no_worker={} position={} workers={} evacuated={} not_eligible={} label={} "
+                    "task_limit={} "
                     "room={} near_target={} idle={} pressure={} lowest_pressure={:.2f}",
                     job.spec.name.value, ready.occurrence, ready.step,
                     toMs(state.now - waiting.since), isUseful, request.step->isBestEffort,
-                    ready.hasNoWorker, waiting.position, counts.workers, counts.notEligible,
-                    counts.label, counts.taskLimit, counts.room, counts.nearTarget, counts.idle,
-                    counts.pressure, counts.lowestPressure));
+                    ready.hasNoWorker, waiting.position, counts.workers, counts.evacuated,
+                    counts.notEligible, counts.label, counts.taskLimit, counts.room,
+                    counts.nearTarget, counts.idle, counts.pressure, counts.lowestPressure));
 }
 
 void logSummary(const scheduler_state &state, const std::vector<waiting_step> &waiting)
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -197,7 +197,9 @@
 {
     const step_spec &step = *request.step;
     const free_capacity freeCapacity = freeCapacityOf(worker);
-    if (!isEligible(state, worker)) {
+    if (isEvacuated(state, worker)) {
+        ++counts.evacuated;
+    } else if (!isEligible(state, worker)) {
         ++counts.notEligible;
     } else if (!hasRequiredLabel(step, worker)) {
         ++counts.label;
@@ -221,13 +223,18 @@
 
 } // namespace
 
+bool isEvacuated(const scheduler_state &state, const worker_record &worker)
+{
+    return state.evacuatedDataCentres.count(worker.info.dataCentre) != 0;
+}
+
 bool isEligible(const scheduler_state &state, const worker_record &worker)
 {
     return worker.isListed && worker.isInStoredList && !worker.isStoredAsSilent
         && isEntryOfReportedIncarnation(worker) && !worker.mayHaveLeavingRecord
         && worker.hasReported && !worker.info.isDraining && worker.failedPolls == 0
         && !worker.hasStrayRuns && worker.avoidedUntil <= state.now && worker.lease.isClockKnown()
-        && !mayHaveForgottenEpoch(state, worker);
+        && !mayHaveForgottenEpoch(state, worker) && !isEvacuated(state, worker);
 }
 
 bool isPossible(const scheduler_state &state, const worker_request &request,
--- a/packages/scheduler/worker_choice.h
+++ b/packages/scheduler/worker_choice.h
@@ -35,6 +35,9 @@
 /// be idle on the worker.
 std::int64_t idleMilliCores(const worker_record &worker);
 
+/// Returns true if the worker is in an evacuated data centre.
+bool isEvacuated(const scheduler_state &state, const worker_record &worker);
+
 /// Returns true if tasks may start on the worker at all.
 bool isEligible(const scheduler_state &state, const worker_record &worker);
 
@@ -52,6 +55,7 @@
 struct refusal_counts
 {
     int workers = 0; ///< All workers of the service.
+    int evacuated = 0; ///< In an evacuated data centre.
     int notEligible = 0; ///< Silent, leaving, avoided, or not known well enough.
     int label = 0; ///< Without the required label.
     int taskLimit = 0; ///< Already run the maximum number of tasks of the step.
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -38,6 +38,7 @@
     struct run_state
     {
         int run = 0; ///< Number of the run among all runs of the task.
+        instant startedAt;
         instant endsAt;
         bool willFail = false;
         bool isStopping = false; ///< A stop command has arrived.
@@ -229,6 +230,7 @@
     std::vector<queue_policy> queues;
     std::map<job_name, job_spec> specs;
     std::function<duration(const task_name &)> runTime = [](const task_name &) { return 1s; };
+    duration startupTime = 0ms; ///< A run reports no progress before it has run for this time.
     std::function<bool(const task_name &, int run)> shouldFail
         = [](const task_name &, int) { return false; };
     double lostResponseRate = 0; ///< Share of commands whose response is lost.
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -136,6 +136,7 @@
     checkStart(worker, command.task);
     fake_worker::run_state run;
     run.run = command.run;
+    run.startedAt = now;
     run.willFail = shouldFail(command.task, command.run);
     run.endsAt = now + (run.willFail ? duration(50ms) : runTime(command.task));
     run.checkpoint = command.checkpoint;
@@ -191,8 +192,11 @@
         worker.completedRuns.begin(),
         worker.completedRuns.begin()
             + std::ptrdiff_t(std::min(worker.completedRuns.size(), maxListedCompletions)));
-    for (const auto &[task, run] : worker.runs)
-        result.running.push_back({task, run.run, run.checkpoint, 100, worker.measurements[task]});
+    for (const auto &[task, run] : worker.runs) {
+        const int progressPercent = now - run.startedAt >= startupTime ? 100 : 0;
+        result.running.push_back(
+            {task, run.run, run.checkpoint, progressPercent, worker.measurements[task]});
+    }
     return result;
 }
 
--- a/test/failure/platform_path_test.cpp
+++ b/test/failure/platform_path_test.cpp
@@ -172,6 +172,31 @@
         return sum;
     }
 
+    // Returns how many tasks of the job were started on the worker.
+    int startsOn(std::size_t worker, const std::string &job) const
+    {
+        int sum = 0;
+        for (const auto &[task, starts] : workers[worker]->starts())
+            sum += task.rfind(job, 0) == 0 ? starts : 0;
+        return sum;
+    }
+
+    // Moves a worker to another data centre than that of the others.
+    void moveTo(const std::string &dataCentre, std::size_t worker)
+    {
+        json entry = workers[worker]->entry();
+        entry["zone"] = dataCentre;
+        store.put("servers/" + workers[worker]->id(), entry);
+    }
+
+    // Waits until the host knows that this number of data centres is evacuated.
+    bool knowsEvacuations(const host &h, int count)
+    {
+        const std::string line = fmt::format("crocuswind_evacuated_data_centres {}", count);
+        return eventually(
+            [&] { return call(h.ready, "GET", "/metrics").body.find(line) != std::string::npos; });
+    }
+
     event_loop loop;
     platform_store store;
     std::vector<std::unique_ptr<platform_worker>> workers;
@@ -333,3 +358,60 @@
     EXPECT_TRUE(completes(hosts[0], jobB));
     EXPECT_EQ(startsOf(jobB), 6);
 }
+
+// The operator's key was read by no code, so that tasks went on starting where the operator asked
+// for none.
+TEST_F(platform_path, NoTaskStartsInADataCentreThatTheOperatorEvacuates)
+{
+    moveTo("b", 0);
+    moveTo("b", 1);
+    store.put("op/evacuate/b", json::object());
+    startHost();
+    ASSERT_TRUE(becomesReady(hosts[0]));
+    ASSERT_TRUE(knowsEvacuations(hosts[0], 1));
+    ASSERT_EQ(submit(hosts[0], jobA), 200);
+    EXPECT_TRUE(completes(hosts[0], jobA));
+    EXPECT_EQ(startsOn(2, jobA), 6);
+
+    store.put("op/evacuate/a", json::object());
+    ASSERT_TRUE(knowsEvacuations(hosts[0], 2));
+    ASSERT_EQ(submit(hosts[0], jobB), 200);
+    EXPECT_EQ(state(hosts[0], jobB), "queued");
+    store.remove("op/evacuate/b");
+    EXPECT_TRUE(completes(hosts[0], jobB));
+    EXPECT_EQ(startsOn(0, jobB) + startsOn(1, jobB), 6);
+    EXPECT_EQ(startsOn(2, jobB), 0);
+}
+
+// The host learns that the evacuation is over when it reads all keys again.
+TEST_F(platform_path, AnEvacuationEndsAlsoIfNoWatchReportsTheRemovalOfItsKey)
+{
+    startHost();
+    ASSERT_TRUE(becomesReady(hosts[0]));
+    store.put("op/evacuate/a", json::object());
+    ASSERT_TRUE(knowsEvacuations(hosts[0], 1));
+    ASSERT_EQ(submit(hosts[0], jobA), 200);
+    EXPECT_EQ(state(hosts[0], jobA), "queued");
+    store.removeUnseen("op/evacuate/a");
+    EXPECT_TRUE(completes(hosts[0], jobA));
+    EXPECT_TRUE(knowsEvacuations(hosts[0], 0));
+    EXPECT_EQ(startsOf(jobA), 6);
+}
+
+// A new owner reads the evacuations and the queues at once, and inherits work.
+TEST_F(platform_path, ANewOwnerStartsNothingInAnEvacuatedDataCentre)
+{
+    startHost();
+    ASSERT_TRUE(becomesReady(hosts[0]));
+    store.put("op/evacuate/a", json::object());
+    ASSERT_TRUE(knowsEvacuations(hosts[0], 1));
+    ASSERT_EQ(submit(hosts[0], jobA), 200);
+    hosts[0].process->signal(SIGKILL);
+    startHost();
+    ASSERT_TRUE(becomesReady(hosts[1]));
+    EXPECT_TRUE(eventually([&] { return state(hosts[1], jobA) == "queued"; }));
+    moveTo("b", 2);
+    EXPECT_TRUE(completes(hosts[1], jobA));
+    EXPECT_EQ(startsOn(2, jobA), 6);
+    EXPECT_EQ(startsOf(jobA), 6);
+}
--- a/test/standin/platform_site.cpp
+++ b/test/standin/platform_site.cpp
@@ -94,6 +94,23 @@
     answerWatches();
 }
 
+void platform_store::remove(const std::string &key)
+{
+    ++m_revision;
+    if (m_items.erase(key) != 0)
+        recordChange(key, true);
+    answerWatches();
+}
+
+void platform_store::removeUnseen(const std::string &key)
+{
+    ++m_revision;
+    m_items.erase(key);
+    m_changes.clear();
+    m_forgottenUntil = m_revision;
+    answerWatches();
+}
+
 std::vector<std::string> platform_store::keys(const std::string &prefix) const
 {
     std::vector<std::string> found;
@@ -223,6 +240,11 @@
 void platform_store::answerWatches()
 {
     for (auto w = m_watches.begin(); w != m_watches.end();) {
+        if (w->after < m_forgottenUntil) {
+            w->responder.answer(answer(410));
+            w = m_watches.erase(w);
+            continue;
+        }
         json events = json::array();
         for (const change &c : m_changes) {
             if (c.revision <= w->after || !hasPrefix(c.key, w->prefix))
--- a/test/standin/platform_site.h
+++ b/test/standin/platform_site.h
@@ -35,6 +35,12 @@
     /// Writes arbitrary bytes to a key, as a writer does that violates the platform's data format.
     void putBytes(const std::string &key, const std::string &bytes);
 
+    /// Removes a key, as the operator does.
+    void remove(const std::string &key);
+
+    /// Removes a key and forgets all changes until now, so that no watch reports the removal.
+    void removeUnseen(const std::string &key);
+
     /// Returns all keys with a prefix.
     std::vector<std::string> keys(const std::string &prefix) const;
 
@@ -82,6 +88,7 @@
     std::string m_address;
     std::map<std::string, item> m_items;
     std::vector<change> m_changes;
+    std::int64_t m_forgottenUntil = 0; ///< Changes up to this revision are forgotten.
     std::map<std::int64_t, std::pair<std::int64_t, instant>> m_leases; ///< TTL in ms and expiry.
     std::vector<waiting_watch> m_watches;
     std::int64_t m_revision = 1;
