--- a/test/failure/scheduler_evacuated_data_centre_test.cpp
+++ b/test/failure/scheduler_evacuated_data_centre_test.cpp
@@ -28,9 +28,9 @@
 }
 
 /// A fleet in the data centres `a` and `b`, of which the operator evacuates `b`.
-struct EvacuatedDataCentre : testing::Test
+struct evacuated_data_centre : testing::Test
 {
-    EvacuatedDataCentre()
+    evacuated_data_centre()
         : owner(world.addHost("host-1"))
     {
         world.runTime = [this](const task_name &task) {
@@ -163,7 +163,7 @@
 
 } // namespace
 
-TEST_F(EvacuatedDataCentre, NoTaskOfABacklogStartsThereUntilItIsTakenBack)
+TEST_F(evacuated_data_centre, NoTaskOfABacklogStartsThereUntilItIsTakenBack)
 {
     addWorkers("a", 10);
     addWorkers("b", 10);
@@ -185,7 +185,7 @@
     EXPECT_EQ(count("evacuation_ended"), 1);
 }
 
-TEST_F(EvacuatedDataCentre, ANewOwnerThatKnowsOfItStartsNothingThere)
+TEST_F(evacuated_data_centre, ANewOwnerThatKnowsOfItStartsNothingThere)
 {
     addWorkers("a", 10);
     addWorkers("b", 10);
@@ -207,7 +207,7 @@
 }
 
 // A new owner reads the operator's keys late. It learns of the evacuation before the queues.
-TEST_F(EvacuatedDataCentre, ANewOwnerThatHasNotReadTheConfigurationStartsNothing)
+TEST_F(evacuated_data_centre, ANewOwnerThatHasNotReadTheConfigurationStartsNothing)
 {
     addWorkers("a", 10);
     addWorkers("b", 10);
@@ -229,7 +229,7 @@
 }
 
 // A former owner that is elected again keeps what it knows.
-TEST_F(EvacuatedDataCentre, AnOwnerThatIsElectedAgainStillKnowsOfIt)
+TEST_F(evacuated_data_centre, AnOwnerThatIsElectedAgainStillKnowsOfIt)
 {
     addWorkers("a", 10);
     addWorkers("b", 10);
@@ -244,7 +244,7 @@
 }
 
 // 40 tasks have to leave 20 workers, and only 10 other workers have room, for two tasks each.
-TEST_F(EvacuatedDataCentre, ContinuousTasksMoveAsPlacesAllowAndTheOthersStay)
+TEST_F(evacuated_data_centre, ContinuousTasksMoveAsPlacesAllowAndTheOthersStay)
 {
     addWorkers("b", 20);
     world.takeOver(owner);
@@ -262,7 +262,7 @@
 }
 
 // Each task takes a while to start up, and counts as unavailable until then.
-TEST_F(EvacuatedDataCentre, NoMoreTasksAreUnavailableThanTheStepAllows)
+TEST_F(evacuated_data_centre, NoMoreTasksAreUnavailableThanTheStepAllows)
 {
     constexpr int maxUnavailable = 2;
     world.startupTime = 400ms;
@@ -283,7 +283,7 @@
 }
 
 // A task of the step that cannot run uses up what the step allows.
-TEST_F(EvacuatedDataCentre, NoTaskIsMovedWhileAnotherOfItsStepIsMissing)
+TEST_F(evacuated_data_centre, NoTaskIsMovedWhileAnotherOfItsStepIsMissing)
 {
     addWorkers("a", 1);
     addWorkers("b", 4);
@@ -306,7 +306,7 @@
 }
 
 // Places there that are kept for tasks are given up.
-TEST_F(EvacuatedDataCentre, TasksOnTheirWayThereGoElsewhere)
+TEST_F(evacuated_data_centre, TasksOnTheirWayThereGoElsewhere)
 {
     addWorkers("a", 10);
     world.takeOver(owner);
@@ -327,7 +327,7 @@
 }
 
 // In a large fleet, the choice of workers is cached for up to a second.
-TEST_F(EvacuatedDataCentre, WorkersAreUsedAtOnceWhenTheyAreTakenBack)
+TEST_F(evacuated_data_centre, WorkersAreUsedAtOnceWhenTheyAreTakenBack)
 {
     addWorkers("b", 1000);
     world.takeOver(owner);
@@ -340,7 +340,7 @@
 }
 
 // The log names the reason why work waits.
-TEST_F(EvacuatedDataCentre, WaitsAreExplained)
+TEST_F(evacuated_data_centre, WaitsAreExplained)
 {
     addWorkers("b", 3);
     world.takeOver(owner);
