--- a/test/failure/scheduler_evacuation_test.cpp
+++ b/test/failure/scheduler_evacuation_test.cpp
@@ -25,9 +25,9 @@
 }
 
 /// A fleet whose workers can be told to drain.
-struct Evacuation : testing::Test
+struct evacuation : testing::Test
 {
-    Evacuation()
+    evacuation()
         : owner(world.addHost("host-1"))
     {
         world.runTime = [this](const task_name &task) {
@@ -119,7 +119,7 @@
 } // namespace
 
 // 200 of 320 workers drain at once, with 400 continuous tasks, and 20 workers have room for 40.
-TEST_F(Evacuation, StopsNoMoreTasksThanThereArePlacesFor)
+TEST_F(evacuation, StopsNoMoreTasksThanThereArePlacesFor)
 {
     addWorkers("leaving-", 200);
     addWorkers("staying-", 100);
@@ -143,7 +143,7 @@
 }
 
 // While the tasks of draining workers end, finite tasks wait for the places.
-TEST_F(Evacuation, KeepsThePlacesOfTasksThatAreStopped)
+TEST_F(evacuation, KeepsThePlacesOfTasksThatAreStopped)
 {
     addWorkers("leaving-", 40);
     addWorkers("staying-", 60);
@@ -161,7 +161,7 @@
 
 // Each worker runs finite tasks of one core, and more of them wait than can run. A worker that
 // crashes runs a continuous task of four cores.
-TEST_F(Evacuation, AnInterruptedTaskGetsRoomThatSmallerTasksWouldTake)
+TEST_F(evacuation, AnInterruptedTaskGetsRoomThatSmallerTasksWouldTake)
 {
     addWorkers("a-", 8);
     world.takeOver(owner);
@@ -185,7 +185,7 @@
 }
 
 // A worker with room that is kept drains before the task has started there.
-TEST_F(Evacuation, GivesUpPlacesOnWorkersThatDrain)
+TEST_F(evacuation, GivesUpPlacesOnWorkersThatDrain)
 {
     addWorkers("leaving-", 20);
     addWorkers("next-", 10);
@@ -203,7 +203,7 @@
 
 // Workers leave with continuous tasks that no other worker could take before. The lease of such a
 // task does not outlast its worker by much, so that it need not be awaited.
-TEST_F(Evacuation, TasksOfWorkersThatHaveLeftStartAsSoonAsThereIsRoom)
+TEST_F(evacuation, TasksOfWorkersThatHaveLeftStartAsSoonAsThereIsRoom)
 {
     addWorkers("leaving-", 10);
     world.takeOver(owner);
@@ -230,7 +230,7 @@
 
 // The owner changes as planned while workers leave with continuous tasks. The successor knows when
 // the leases of these workers end.
-TEST_F(Evacuation, TasksOfWorkersThatLeaveDuringAHandOverStartInTime)
+TEST_F(evacuation, TasksOfWorkersThatLeaveDuringAHandOverStartInTime)
 {
     fake_host &second = world.addHost("host-2");
     addWorkers("leaving-", 10);
@@ -257,7 +257,7 @@
 }
 
 // A worker that stays longer than it announced keeps its runs.
-TEST_F(Evacuation, WorkersThatStayLongerThanAnnouncedKeepTheirRuns)
+TEST_F(evacuation, WorkersThatStayLongerThanAnnouncedKeepTheirRuns)
 {
     addWorkers("leaving-", 10);
     world.takeOver(owner);
--- a/test/failure/scheduler_handover_test.cpp
+++ b/test/failure/scheduler_handover_test.cpp
@@ -13,9 +13,9 @@
 constexpr duration longestHandover = 700ms;
 
 /// A fleet on which more finite tasks wait than can run, so that many runs end at any time.
-struct Handover : testing::Test
+struct handover : testing::Test
 {
-    Handover()
+    handover()
         : first(world.addHost("host-1"))
         , second(world.addHost("host-2"))
     {
@@ -50,14 +50,14 @@
 } // namespace
 
 // Runs that end make changes faster than a slow store takes them.
-TEST_F(Handover, EndsAlthoughRunsGoOnEnding)
+TEST_F(handover, EndsAlthoughRunsGoOnEnding)
 {
     world.storeDelay = 60ms;
     EXPECT_LE(handOver(5s).count(), longestHandover.count());
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
-TEST_F(Handover, TasksStartUntilItEnds)
+TEST_F(handover, TasksStartUntilItEnds)
 {
     world.storeDelay = 300ms;
     const std::size_t before = startsSoFar();
@@ -67,7 +67,7 @@
 }
 
 // The successor finds what the former owner has started last and has not stored.
-TEST_F(Handover, DuplicatesAndLosesNothing)
+TEST_F(handover, DuplicatesAndLosesNothing)
 {
     world.storeDelay = 60ms;
     handOver(5s);
