Let tasks run before the hand-over in the test of restarted leases

Cause: IsStoredBeforeAPlannedHandOverEnds asked for the first worker with a run while there was none, as the slow store held up the job.

Change: the store becomes slow once the restarts are known, and the case asserts that all eight tasks run before the hand-over begins. It checks more than before.

--- a/test/failure/scheduler_restarted_lease_test.cpp
+++ b/test/failure/scheduler_restarted_lease_test.cpp
@@ -103,12 +103,12 @@
 // The store answers late while the owner hands over.
 TEST_F(restarted_lease_test, IsStoredBeforeAPlannedHandOverEnds)
 {
-    world.storeDelay = 100ms;
     startOnRestartedWorkers();
-    world.run(20ms);
+    runUntilRestartsAreKnown();
     world.storeDelay = 700ms;
     submit(first, "b", 1, false);
-    runUntilRestartsAreKnown();
+    world.run(100ms);
+    ASSERT_EQ(runCount(spec), 8U);
     second.unreachableWorkers = {firstBusyWorker().info.id};
     handOver(first, second);
     world.storeDelay = 0ms;
