--- a/review/stage-2/moved_replicas.cpp
+++ b/review/stage-2/moved_replicas.cpp
@@ -34,10 +34,10 @@
 
     std::chrono::milliseconds duration(const std::string &) override { return 1h; }
 
-    void onStart(const std::string &, const std::string &task, int) override
+    void onStart(const task_start &start) override
     {
         const std::lock_guard lock(m_mutex);
-        m_startedAt[task] = steady::now();
+        m_startedAt[start.task] = steady::now();
     }
 
     void onStopOrder(const std::string &runner, const std::string &task, int) override
--- a/review/stage-2/restarted_runner.cpp
+++ b/review/stage-2/restarted_runner.cpp
@@ -13,6 +13,7 @@
 /// From the beginning of the cut.
 constexpr auto restartTime = 200ms;
 constexpr auto cutTime = 700ms;
+constexpr int runnerMilliCores = 8000;
 constexpr auto workTime = 300ms;
 
 /// Checks the rule TWICE.
@@ -25,14 +26,14 @@
 
     std::chrono::milliseconds duration(const std::string &) override { return workTime; }
 
-    void onStart(const std::string &runner, const std::string &task, int run) override
+    void onStart(const task_start &start) override
     {
         const std::lock_guard lock(m_mutex);
-        if (m_acknowledged.count(task) != 0)
-            m_record.breakRule("TWICE: " + task + " is started as run " + std::to_string(run)
-                               + " on " + runner + " after a run has ended done and the end was "
-                               + "acknowledged");
-        m_startsAfterDone[task] = m_done.count(task) != 0;
+        if (m_acknowledged.count(start.task) != 0)
+            m_record.breakRule("TWICE: " + start.task + " is started as run "
+                               + std::to_string(start.run) + " on " + start.runner
+                               + " after a run has ended done and the end was acknowledged");
+        m_startsAfterDone[start.task] = m_done.count(start.task) != 0;
     }
 
     void onStopOrder(const std::string &, const std::string &, int) override { }
@@ -93,8 +94,8 @@
     auto &site = *new small_site(record);
     playCase(record, site, [&] {
         for (const char *id : {"i-1", "i-2", "i-3", "i-4", "i-6"})
-            new runner(id, "a", 8000, site.store(), record, check);
-        auto &cutOff = *new runner("i-5", "b", 8000, site.store(), record, check);
+            new runner(id, "a", runnerMilliCores, site.store(), record, check);
+        auto &cutOff = *new runner("i-5", "b", runnerMilliCores, site.store(), record, check);
         site.submit("00000000000000a1", oneTask());
         small_site::waitFor([&] { return check.isAcknowledged("00000000000000a1.0.0.0"); }, 10s);
 
@@ -104,7 +105,7 @@
         site.submit("00000000000000a2", oneTask());
         std::this_thread::sleep_until(cutAt + restartTime);
         if (hasTrouble())
-            cutOff.restart();
+            cutOff.restart(runnerMilliCores);
         std::this_thread::sleep_until(cutAt + cutTime);
         if (hasTrouble())
             cutOff.heal();
--- a/review/stage-2/runner.h
+++ b/review/stage-2/runner.h
@@ -20,6 +20,16 @@
     int pacePercent = 100;
 };
 
+/// A start of a task that a runner has carried out.
+struct task_start
+{
+    std::string runner;
+    std::string task;
+    int run = 0;
+    std::size_t running = 0; ///< Runs on the runner, with this one.
+    int milliCores = 0; ///< Room of the runner.
+};
+
 /// What a case decides about the tasks, and what it wants to know. The functions are called with
 /// the runner locked.
 class runner_events
@@ -28,7 +38,7 @@
     virtual ~runner_events() = default;
     /// Returns how long the task works.
     virtual std::chrono::milliseconds duration(const std::string &task) = 0;
-    virtual void onStart(const std::string &runner, const std::string &task, int run) = 0;
+    virtual void onStart(const task_start &start) = 0;
     /// An order to stop the run has arrived.
     virtual void onStopOrder(const std::string &runner, const std::string &task, int run) = 0;
     virtual void onEnd(const std::string &runner, const std::string &task, int run,
@@ -38,6 +48,13 @@
     virtual void onAcknowledged(const std::string &runner, const std::string &task, int run,
                                 const std::string &how)
         = 0;
+    /// Returns how much later an order to pace is carried out, without an answer; 0 for at once.
+    virtual std::chrono::milliseconds delayOfPace(int percent)
+    {
+        (void)percent;
+        return 0ms;
+    }
+
     /// Returns the percent and the measurement of a row of `running`.
     virtual std::pair<int, std::int64_t> measure(const std::string &runner, const std::string &task,
                                                  const std::map<std::string, task_run> &running)
@@ -71,10 +88,11 @@
     }
 
     /// The process crashes, with all its runs, and starts again at once under its id. Behind a cut
-    /// nobody sees the end of its connections.
-    void restart()
+    /// nobody sees the end of its connections. The new life has room of its own.
+    void restart(int milliCores)
     {
         const std::lock_guard lock(m_mutex);
+        m_milliCores = milliCores;
         beginLife();
         m_hasRestarted = true;
         m_record.note("restarted " + m_id);
@@ -89,10 +107,19 @@
         m_record.note("healed " + m_id);
     }
 
-    std::size_t runCount() const
+    /// A new life checks in before its machine is cut off again.
+    void checkInNow()
     {
-        const std::lock_guard lock(m_mutex);
-        return m_running.size();
+        m_store.put("servers/" + m_id, entry());
+        m_record.note("check-in " + m_id + " by a life that is lost right after");
+    }
+
+    /// Waits until the next look of an owner, which is answered at once.
+    void waitForHold()
+    {
+        std::unique_lock lock(m_mutex);
+        const std::int64_t seen = m_holds;
+        m_changed.wait(lock, [&] { return m_holds != seen; });
     }
 
 private:
@@ -212,7 +239,7 @@
         if (request.path == "/run-stop")
             return stop(body);
         if (request.path == "/pace")
-            return pace(body);
+            return paceInTime(body);
         return answer(404, {});
     }
 
@@ -250,6 +277,8 @@
             = steady::now() + std::chrono::milliseconds(body.value("waitMs", std::int64_t(0)));
         m_record.note("hold " + m_id + " " + body.dump());
         const int life = m_life;
+        ++m_holds;
+        m_changed.notify_all();
         extendLease(body);
         forget(cursor);
         while (m_ended.empty() && steady::now() < until) {
@@ -282,7 +311,7 @@
         if (run <= m_highestRun[task])
             return answer(409, {{"reason", "old"}});
         m_record.note("start " + m_id + " " + task + " run " + std::to_string(run));
-        m_events.onStart(m_id, task, run);
+        m_events.onStart({m_id, task, run, m_running.size() + 1, m_milliCores});
         task_run started;
         started.run = run;
         started.startedAt = steady::now();
@@ -306,6 +335,25 @@
         return answer(200, {});
     }
 
+    // "A call that receives no response may have been executed. It may also be executed seconds
+    // later, after newer calls."
+    std::optional<http_response> paceInTime(const json &body)
+    {
+        const auto delay = m_events.delayOfPace(body.at("percent"));
+        if (delay == 0ms)
+            return pace(body);
+        m_record.note("late " + m_id + " " + body.dump());
+        std::thread([this, body, delay] {
+            std::this_thread::sleep_for(delay);
+            const std::lock_guard lock(m_mutex);
+            if (body.at("fencingToken").get<std::int64_t>() < m_fence)
+                return;
+            m_record.note("carried out late " + m_id + " " + body.dump());
+            pace(body);
+        }).detach();
+        return std::nullopt;
+    }
+
     http_response pace(const json &body)
     {
         const std::string task = body.at("task");
@@ -335,6 +383,7 @@
     std::int64_t m_deadlineMs = 0;
     std::int64_t m_lastNumber = 0;
     std::int64_t m_sequence = 0;
+    std::int64_t m_holds = 0;
     std::map<std::string, task_run> m_running;
     std::vector<ended_run> m_ended;
     std::map<std::string, int> m_highestRun;
