Ask one budget before a task is stopped to be moved

Cause: each sender of a stop looked at its own worker; only evacuation knew the bound of the step.

Evidence: in scheduler_disruption_test, which checks each stop as the rule does, the code before sends three stops in one millisecond for moves of slow runs; evacuation alone kept the bound. With the guard of yielding runs alone taken out, the case for them fails.

Change: disruption_budget.{h,cpp} permits moves of slow and yielding runs and out of evacuated data centres. It counts by the states of the step's tasks, so commands on their way are counted in, and takes tasks on workers that don't answer for unavailable. Moves of yielding runs are tried again every 200 ms.

Why it works: there is one count for all senders, and a stop changes it before the next sender asks.

Tests: scheduler_disruption_test, 62 cases. Plain tests of the scheduler: all pass but the known red one.

--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -23,8 +23,9 @@
 /// meanwhile.
 constexpr int maxStartsPerPass = 200;
 
-/// Tasks without a worker are tried again after this time even if no event has occurred, because
-/// workers are avoided for a limited time only.
+/// Tasks without a worker, and moves of yielding runs, are tried again after this time even if no
+/// event has occurred: workers are avoided, and tasks of a step are unavailable, for a limited
+/// time.
 constexpr duration reviewInterval = 200ms;
 
 /// Best-effort tasks wait for a worker whose serving tasks tolerate them at full pace.
@@ -444,8 +445,8 @@
 void dispatch(scheduler_state &state)
 {
     const bool hasAuthority = state.isOwner && leaseEnd(state);
-    const bool isReviewDue
-        = !state.ready.empty() && state.now >= state.nextDispatchAt + reviewInterval;
+    const bool hasReviewable = !state.ready.empty() || !state.yieldingTasks.empty();
+    const bool isReviewDue = hasReviewable && state.now >= state.nextDispatchAt + reviewInterval;
     if (state.now < state.nextDispatchAt || (!state.isDispatchWanted && !isReviewDue))
         return;
     if (!hasAuthority || holdsStarts(state)) {
--- a/packages/scheduler/evacuation.cpp
+++ b/packages/scheduler/evacuation.cpp
@@ -1,6 +1,7 @@
 #include "evacuation.h"
 
 #include "discovery_age.h"
+#include "disruption_budget.h"
 #include "room_claims.h"
 #include "task_lifecycle.h"
 #include "worker_choice.h"
@@ -60,6 +61,7 @@
     explicit evacuation_pass(scheduler_state &state)
         : m_state(state)
         , m_chooser(refreshedChooser(state))
+        , m_budget(state)
         , m_movesLeft(std::max(minConcurrentMoves, int(state.workers.size()) / workersPerMove)
                       - countMoves(state))
     { }
@@ -71,7 +73,7 @@
                 return;
             const bool isMovable = run.step->isContinuous && run.task->phase == task_phase::running
                 && mayStartAgain(name, run);
-            if (isMovable && (worker.info.isDraining || isSpared(name, run)))
+            if (isMovable)
                 moveTask(worker, name, run);
         }
     }
@@ -84,25 +86,14 @@
         return !run.job->isRecovered || !m_state.unreportedWorkers.mayHave(name);
     }
 
-    // Returns true if the step can do without the task for the time of a move.
-    bool isSpared(const task_name &name, const bound_run &run)
+    // Counts the disruption. Returns false if the step can't do without the task for the time of a
+    // move. Of a worker that leaves, tasks go in any case.
+    bool mayStop(const worker_record &worker, const task_name &name, const bound_run &run)
     {
-        return run.step->maxUnavailable == 0
-            || unavailableTasks(name, run) < run.step->maxUnavailable;
-    }
-
-    // Returns how many tasks of the run's step are unavailable.
-    int &unavailableTasks(const task_name &name, const bound_run &run)
-    {
-        const auto [found, isNew]
-            = m_unavailable.try_emplace({name.job, name.occurrence, name.step, 0}, 0);
-        if (isNew) {
-            const auto &tasks
-                = run.job->occurrences.at(name.occurrence).steps[std::size_t(name.step)];
-            found->second
-                = int(tasks.size()) - int(std::count_if(tasks.begin(), tasks.end(), isAvailable));
-        }
-        return found->second;
+        if (!worker.info.isDraining)
+            return m_budget.take(name, run);
+        m_budget.note(name, run);
+        return true;
     }
 
     void moveTask(const worker_record &worker, const task_name &name, const bound_run &run)
@@ -115,7 +106,7 @@
         request.service = run.job->policy.service;
         request.tasksOfStep = &places;
         worker_record *place = m_chooser.choose(request);
-        if (place == nullptr)
+        if (place == nullptr || !mayStop(worker, name, run))
             return;
         claimRoom(m_state, name, *run.step, *place, m_state.now + longestMove);
         m_chooser.noteStart(*place);
@@ -123,17 +114,14 @@
             return fmt::format("job={} task={} from={} to={}", name.job.value, toString(name),
                                worker.info.id.value, place->info.id.value);
         });
-        if (run.step->maxUnavailable > 0 && isAvailable(*run.task))
-            ++unavailableTasks(name, run);
         sendStop(m_state, name, *run.task);
         --m_movesLeft;
     }
 
     scheduler_state &m_state;
     worker_chooser &m_chooser;
+    disruption_budget m_budget;
     int m_movesLeft; ///< Number of tasks that may still be stopped.
-    /// Number of unavailable tasks of each step, by the name of its first task.
-    std::map<task_name, int> m_unavailable;
 };
 
 } // namespace
--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -1,6 +1,7 @@
 #include "pace_control.h"
 
 #include "discovery_age.h"
+#include "disruption_budget.h"
 #include "fair_share.h"
 #include "task_lifecycle.h"
 #include "worker_choice.h"
@@ -318,6 +319,7 @@
 void moveSlowRuns(scheduler_state &state, worker_record &worker)
 {
     target_search search(state, worker);
+    disruption_budget budget(state);
     int moves = 0;
     for (const auto &[name, run] : worker.runs) {
         if (run.bestEffort == nullptr || run.isYielding || moves >= maxMovesPerReport)
@@ -327,7 +329,7 @@
         const bool isSlow = bestEffort.pacePercent <= slowPacePercent
             && state.now - bestEffort.slowSince >= slowLimit;
         if (!isSlow || !isWorthMoving(*run.step, task, bestEffort.pacePercent)
-            || !search.hasTarget(run))
+            || !search.hasTarget(run) || !budget.take(name, run))
             continue;
         logMove(state, worker, name, run);
         sendStop(state, name, task);
--- a/packages/scheduler/yielding_runs.cpp
+++ b/packages/scheduler/yielding_runs.cpp
@@ -1,5 +1,6 @@
 #include "yielding_runs.h"
 
+#include "disruption_budget.h"
 #include "pace_control.h"
 #include "run_binding.h"
 #include "task_lifecycle.h"
@@ -92,7 +93,8 @@
         task_state &task = *state.findTask(name);
         const worker_record &worker = *state.findWorker(task.worker);
         const bound_run &run = worker.runs.at(name);
-        if (isWorthMoving(state, worker, run) && hasBetterPlace(state, worker, name, run)) {
+        if (isWorthMoving(state, worker, run) && hasBetterPlace(state, worker, name, run)
+            && disruption_budget(state).take(name, run)) {
             sendStop(state, name, task);
             return;
         }
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -234,6 +234,9 @@
     duration startupTime = 0ms; ///< A run reports no progress before it has run for this time.
     std::function<bool(const task_name &, int run)> shouldFail
         = [](const task_name &, int) { return false; };
+    /// Called before a worker carries out a command to stop a run.
+    std::function<void(const fake_worker &, const stop_command &)> onStop
+        = [](const fake_worker &, const stop_command &) {};
     double lostResponseRate = 0; ///< Share of commands whose response is lost.
     /// Share of commands that get no response and are executed seconds later.
     double delayedCommandRate = 0;
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -176,6 +176,7 @@
     if (command.epoch < worker.highestEpoch)
         return {command_outcome::refused_stale_epoch, clock};
     worker.highestEpoch = command.epoch;
+    onStop(worker, command);
     worker.refusedUpTo[command.task] = std::max(worker.refusedUpTo[command.task], command.run);
     const auto found = worker.runs.find(command.task);
     if (found != worker.runs.end() && found->second.run == command.run
