Give up the runs of a former life as soon as a new one is known

Cause: restartWorker() kept all runs until the next report and let them wait for the longest lease, 10 s from the entry of the new life, although the new start proves that runs which the former life had shown are gone.

Change: a restart that the start of a life shows gives up the confirmed runs. One that only a clock reading shows gives up none, because an answer that is read late looks the same; a report of the known life is no restart whatever its clock says.

Why it works: a confirmed run was shown by the life that is gone; the others are kept as before.

--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -486,16 +486,21 @@
                           {worker.info.id, worker.incarnationStartUnixMs, completion.number});
 }
 
-void handleLostRuns(scheduler_state &state, worker_record &worker, const char *reason)
+void handleLostRuns(scheduler_state &state, worker_record &worker, const char *reason,
+                    const std::function<bool(const bound_run &)> &isLost)
 {
-    if (worker.runs.empty())
+    std::vector<task_name> lost;
+    for (const auto &[name, run] : worker.runs) {
+        if (isLost(run))
+            lost.push_back(name);
+    }
+    if (lost.empty())
         return;
-    state.ports.log("runs_lost",
-                    fmt::format("worker={} runs={} reason={}", worker.info.id.value,
-                                worker.runs.size(), reason));
-    while (!worker.runs.empty()) {
-        const task_name name = worker.runs.begin()->first;
-        task_state &task = *worker.runs.begin()->second.task;
+    state.ports.log(
+        "runs_lost",
+        fmt::format("worker={} runs={} reason={}", worker.info.id.value, lost.size(), reason));
+    for (const task_name &name : lost) {
+        task_state &task = *worker.runs.at(name).task;
         unbindRun(state, name, task);
         requeue(state, name, task);
         // The run may have ended when the worker fell silent, long before its lease lapsed.
--- a/packages/scheduler/task_lifecycle.h
+++ b/packages/scheduler/task_lifecycle.h
@@ -50,8 +50,10 @@
 /// becomes known.
 void failIfExhausted(scheduler_state &state, job_record &job);
 
-/// Handles the loss of all runs on the worker without completion reports: requeues their tasks.
-void handleLostRuns(scheduler_state &state, worker_record &worker, const char *reason);
+/// Handles the loss of the runs on the worker for which \p isLost returns true, without completion
+/// reports: requeues their tasks.
+void handleLostRuns(scheduler_state &state, worker_record &worker, const char *reason,
+                    const std::function<bool(const bound_run &)> &isLost);
 
 /// Sends a stop command for the current run of the task.
 void sendStop(scheduler_state &state, const task_name &name, task_state &task);
--- a/packages/scheduler/worker_incarnation.cpp
+++ b/packages/scheduler/worker_incarnation.cpp
@@ -1,5 +1,7 @@
 #include "worker_incarnation.h"
 
+#include "task_lifecycle.h"
+
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
@@ -52,9 +54,13 @@
     state.ports.log("worker_restarted",
                     fmt::format("worker={} born_before={} born={}", worker.info.id.value,
                                 worker.incarnationStartUnixMs, incarnationStartUnixMs));
-    // Runs are kept until the next report, because some may have been started in the new
-    // incarnation already. The new incarnation, whose clock starts anew, may carry out
-    // commands meant for the former one, and their leases may then last up to `longestLease`.
+    // The runs of the former incarnation ended with it. The others are kept until the next report,
+    // because they may have been started in the new incarnation already. The new incarnation, whose
+    // clock starts anew, may carry out commands meant for the former one, and their leases may then
+    // last up to `longestLease`.
+    const bool isCertain = incarnationStartUnixMs != 0;
+    handleLostRuns(state, worker, "worker_restarted",
+                   [isCertain](const bound_run &run) { return isCertain && run.isConfirmed; });
     for (auto &[name, run] : worker.runs)
         run.isConfirmed = false;
     worker.completions = completion_cursor();
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -133,10 +133,11 @@
 void handleReport(scheduler_state &state, worker_record &worker, const poll_command &command,
                   const worker_report &report)
 {
-    const bool isNewIncarnation
-        = (report.incarnationStartUnixMs != 0 && worker.incarnationStartUnixMs != 0
-           && report.incarnationStartUnixMs != worker.incarnationStartUnixMs)
-        || worker.lease.isClockReset(report.clockMs, state.now);
+    const bool areStartsKnown
+        = report.incarnationStartUnixMs != 0 && worker.incarnationStartUnixMs != 0;
+    const bool isNewIncarnation = areStartsKnown
+        ? report.incarnationStartUnixMs != worker.incarnationStartUnixMs
+        : worker.lease.isClockReset(report.clockMs, state.now);
     if (isNewIncarnation)
         restartWorker(state, worker, report.incarnationStartUnixMs);
     worker.incarnationStartUnixMs = report.incarnationStartUnixMs;
@@ -180,7 +181,7 @@
     if (worker.hasReported || !worker.runs.empty())
         state.ports.log("worker_replaced",
                         fmt::format("worker={} runs={}", worker.info.id.value, worker.runs.size()));
-    handleLostRuns(state, worker, "worker_replaced");
+    handleLostRuns(state, worker, "worker_replaced", [](const bound_run &) { return true; });
     worker.hasReported = false;
     markReported(state, worker.info.id);
     scheduleReplacedPoll(state, worker);
@@ -271,7 +272,7 @@
         if (worker.lease.hasLapsed(state.inputHandledUntil) && state.now < state.exclusiveUntil
             && worker.failedPolls >= neededFailures) {
             logGivenUp(state, worker);
-            handleLostRuns(state, worker, "lease_lapsed");
+            handleLostRuns(state, worker, "lease_lapsed", [](const bound_run &) { return true; });
             worker.hasReported = false;
             isReleaseDue = noteReported(state, id) || isReleaseDue;
         }
