Wait longer for a start whose life no answer has shown

Cause: a new life carries out a start, up to 10 s of lease by a deadline on the former clock, and is cut off before an answer or its entry shows the restart. The owner gave the task up with the lease of the former life, 6 to 6.5 s after.

Change: a finite run whose start was not answered by the known life is given up only once no lease by that start can last: 15 s for a late command, or 1 s if it was answered, and the longest lease. A continuous run is given up as before: it has to run again within 9 s, and a crash for good looks the same.

Why it works: a run on a life that nobody has heard of can only come from a start that the known life did not answer.

Tests: AStartWithoutAnAnswerMayRunOnAfterTheLeaseOfTheFormerLife fails before.

--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -18,9 +18,6 @@
 
 constexpr duration stopRetryInterval = 300ms;
 
-/// A command without an answer is carried out within this time or never.
-constexpr duration lateCommandLimit = 15s;
-
 const step_spec &specOf(const job_record &job, const task_name &name)
 {
     return job.spec.steps[std::size_t(name.step)];
--- a/packages/scheduler/worker_incarnation.cpp
+++ b/packages/scheduler/worker_incarnation.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// A command that is answered is carried out within this time.
+constexpr duration longestAnswer = 1s;
+
 /// Starts on a worker that never has all its runs confirmed are held back after this time, so that
 /// its completions can be acknowledged.
 constexpr duration longestUnacknowledged = 1s;
@@ -48,6 +51,14 @@
             && state.now - *worker.unacknowledgedSince >= longestUnacknowledged);
 }
 
+bool mayOutliveLease(const scheduler_state &state, const bound_run &run)
+{
+    const bool isAnswered = run.task->phase == task_phase::running;
+    const duration longestDelay = isAnswered ? longestAnswer : lateCommandLimit;
+    return !run.isConfirmed && !run.step->isContinuous
+        && state.now <= run.task->runSince + longestDelay + state.settings.longestLease;
+}
+
 void restartWorker(scheduler_state &state, worker_record &worker,
                    std::int64_t incarnationStartUnixMs)
 {
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -92,6 +92,9 @@
 /// same incarnation.
 constexpr duration sameIncarnationLimit = 1500ms;
 
+/// A command without an answer is carried out within this time or never.
+constexpr duration lateCommandLimit = 15s;
+
 /// Maximum relative rate by which a worker's clock may be slower than the owner's.
 constexpr double maxClockSlowness = 0.02;
 
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -277,7 +277,8 @@
         if (worker.lease.hasLapsed(state.inputHandledUntil) && state.now < state.exclusiveUntil
             && worker.failedPolls >= neededFailures) {
             logGivenUp(state, worker);
-            handleLostRuns(state, worker, "lease_lapsed", [](const bound_run &) { return true; });
+            handleLostRuns(state, worker, "lease_lapsed",
+                           [&](const bound_run &run) { return !mayOutliveLease(state, run); });
             worker.hasReported = false;
             isReleaseDue = noteReported(state, id) || isReleaseDue;
         }
--- a/test/failure/scheduler_restarts_test.cpp
+++ b/test/failure/scheduler_restarts_test.cpp
@@ -187,6 +187,22 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// The new life carries out a start and is cut off before its answer or its entry shows the restart.
+TEST_F(restarted_worker, AStartWithoutAnAnswerMayRunOnAfterTheLeaseOfTheFormerLife)
+{
+    restart();
+    submit("b", 1);
+    while (worker.runs.empty())
+        world.run(1ms);
+    cutOff();
+    addIdleWorker();
+    world.run(9s);
+    EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 2); // Its run ended with the former life.
+    world.run(30s);
+    EXPECT_EQ((world.starts[{{"b"}, 0, 0, 0}]), 2);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 // CROCUSWIND_SEEDS sets the number of seeds for a longer run by hand, and CROCUSWIND_LATE the share
 // of commands that are carried out late.
 TEST(Restarts, DuplicateNoRun)
