Store which life of each worker an owner knows

Cause: an owner that dies within 60 ms and a write of learning of a restart tells nobody. The next owner takes the new life for the one its predecessor used, adopts its run and counts its own leases, though commands meant for the former life may have given the new one up to 10 s. Without an answer it counts the authority of its predecessor alone.

Change: the list of workers names the start of the life that the owner knows (14 bytes a worker, in a line that earlier builds skip), and a task starts only on a life that the durable list names. A new owner begins with these: a report or an entry of another life is a restart for it as for its predecessor, and a restart before the first report counts from the end of the former owner's own leases.

Why it works: starts go to the life in the list or, unnoticed, to a later one, and whoever finds a later one knows it.

Tests: AnOwnerThatFindsAnotherLifeThanItsPredecessorWaitsForItsLongestLease fails before (two runs); two cases for the text of the list. Scheduler tests pass but the known red one.

--- a/packages/scheduler/silent_workers.cpp
+++ b/packages/scheduler/silent_workers.cpp
@@ -126,6 +126,14 @@
     return leases;
 }
 
+// Returns the start of the incarnation that the owner knows, before the first report that of the
+// entry, or 0.
+std::int64_t knownIncarnation(const worker_record &worker)
+{
+    return worker.incarnationStartUnixMs != 0 ? worker.incarnationStartUnixMs
+                                              : worker.info.incarnationStartUnixMs;
+}
+
 owner_moment presentMoment(const scheduler_state &state)
 {
     const auto clock = state.now.time_since_epoch();
@@ -183,7 +191,7 @@
     const bool isCarried = isCarriedOn(state);
     list.writtenAt = isCarried ? state.formerList.writtenAt() : presentMoment(state);
     for (auto &[id, worker] : state.workers) {
-        list.workers.push_back({id, worker.info.address});
+        list.workers.push_back({id, worker.info.address, knownIncarnation(worker)});
         worker.lease.dropLapsedMisdirected(state.now);
         if (!isSilent(state, worker))
             continue;
@@ -220,8 +228,11 @@
         const bool wasSilent = worker->isStoredAsSilent;
         const bool wasUsable = worker->isInStoredList && !wasSilent;
         worker->isInStoredList = true;
+        const bool wasOther
+            = std::exchange(worker->storedIncarnationStartUnixMs, stored.incarnationStartUnixMs)
+            != stored.incarnationStartUnixMs;
         worker->isStoredAsSilent = silent.count(stored.id) != 0;
-        if (wasUsable || worker->isStoredAsSilent)
+        if ((wasUsable && !wasOther) || worker->isStoredAsSilent)
             continue;
         if (wasSilent)
             state.bringPollForward(*worker, state.now); // This poll may renew the lease.
@@ -238,6 +249,8 @@
         worker_record &worker = state.workers[stored.id];
         worker.info.id = stored.id;
         worker.info.address = stored.address;
+        worker.incarnationStartUnixMs = stored.incarnationStartUnixMs;
+        worker.storedIncarnationStartUnixMs = stored.incarnationStartUnixMs;
         worker.lastLeaseEpoch = lastLeaseEpoch;
         worker.lease.limitLapse(authority.endOf(worker.lastLeaseEpoch));
         state.unreportedWorkers.add(stored.id);
--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -77,6 +77,13 @@
         || worker.info.incarnationStartUnixMs == worker.incarnationStartUnixMs;
 }
 
+// Returns false if a later owner would find another incarnation in the store.
+bool isIncarnationStored(const worker_record &worker)
+{
+    return worker.incarnationStartUnixMs == 0
+        || worker.storedIncarnationStartUnixMs == worker.incarnationStartUnixMs;
+}
+
 bool hasRequiredLabel(const step_spec &step, const worker_record &worker)
 {
     return step.requiredLabel.empty() || hasLabel(worker.info, step.requiredLabel);
@@ -232,10 +239,11 @@
 bool isEligible(const scheduler_state &state, const worker_record &worker)
 {
     return worker.isListed && worker.isInStoredList && !worker.isStoredAsSilent
-        && isEntryOfReportedIncarnation(worker) && !worker.mayHaveLeavingRecord
-        && worker.hasReported && !worker.info.isDraining && worker.failedPolls == 0
-        && !worker.hasStrayRuns && worker.avoidedUntil <= state.now && worker.lease.isClockKnown()
-        && !mayHaveForgottenEpoch(state, worker) && !isEvacuated(state, worker);
+        && isEntryOfReportedIncarnation(worker) && isIncarnationStored(worker)
+        && !worker.mayHaveLeavingRecord && worker.hasReported && !worker.info.isDraining
+        && worker.failedPolls == 0 && !worker.hasStrayRuns && worker.avoidedUntil <= state.now
+        && worker.lease.isClockKnown() && !mayHaveForgottenEpoch(state, worker)
+        && !isEvacuated(state, worker);
 }
 
 bool mayStartNow(const scheduler_state &state, const worker_record &worker)
--- a/packages/scheduler/worker_incarnation.cpp
+++ b/packages/scheduler/worker_incarnation.cpp
@@ -83,10 +83,14 @@
     worker.lastPollBeforeFence = worker.lastPoll;
     worker.isPollInFlight = false;
     worker.isAcknowledgementInFlight = false;
+    // A former owner may go on sending commands until its own leases end.
+    const bool mayBeInherited = state.unreportedWorkers.contains(worker.info.id);
+    const instant lastCommandAt
+        = mayBeInherited ? std::max(state.now, worker.lease.lapsesBy()) : state.now;
     worker.completions = completion_cursor();
     worker.lease = worker_lease();
     worker.clockCeiling = clock_ceiling();
-    worker.lease.limitMisdirectedLapse(state.now + state.settings.longestLease);
+    worker.lease.limitMisdirectedLapse(lastCommandAt + state.settings.longestLease);
     state.isWorkerListDirty = true; // A later owner has to know of that lease.
     worker.lastLeaseEpoch = state.epoch;
     worker.ackedCompletions = 0;
--- a/packages/scheduler/worker_list.cpp
+++ b/packages/scheduler/worker_list.cpp
@@ -15,6 +15,57 @@
 /// Begins the line of a misdirected lease.
 constexpr std::string_view misdirectedPrefix = " restarted/";
 
+/// Begins the line of the incarnations.
+constexpr std::string_view livesPrefix = " lives/";
+
+bool startsWith(std::string_view text, std::string_view prefix)
+{
+    return text.substr(0, prefix.size()) == prefix;
+}
+
+// Parses a line that begins with livesPrefix. Returns nothing if it is malformed.
+std::vector<std::int64_t> parseLives(std::string_view line)
+{
+    std::vector<std::int64_t> lives;
+    const char *next = line.data() + livesPrefix.size();
+    const char *const end = line.data() + line.size();
+    while (next < end) {
+        std::int64_t start = 0;
+        const auto [rest, error] = std::from_chars(next, end, start);
+        const bool isRead = error == std::errc() && start >= 0 && (rest == end || *rest == ',');
+        if (!isRead)
+            return {};
+        lives.push_back(start);
+        next = rest + 1;
+    }
+    return lives;
+}
+
+// Returns the line of the incarnations, or nothing if none is known.
+std::string livesToText(const std::vector<stored_worker> &workers)
+{
+    const bool areKnown = std::any_of(workers.begin(), workers.end(), [](const stored_worker &w) {
+        return w.incarnationStartUnixMs != 0;
+    });
+    std::string text;
+    if (!areKnown)
+        return text;
+    text = livesPrefix;
+    for (const stored_worker &worker : workers)
+        text += std::to_string(worker.incarnationStartUnixMs) + ',';
+    text.back() = '\n';
+    return text;
+}
+
+// Sets the incarnations of the workers if there is one for each.
+void setLives(const std::vector<std::int64_t> &lives, std::vector<stored_worker> &workers)
+{
+    if (lives.size() != workers.size())
+        return;
+    for (std::size_t i = 0; i < lives.size(); ++i)
+        workers[i].incarnationStartUnixMs = lives[i];
+}
+
 std::vector<silent_lease> parseSilentLeases(std::string_view text)
 {
     std::vector<silent_lease> leases;
@@ -79,7 +130,7 @@
 // Parses a line that begins with a space.
 void parseDetail(std::string_view line, worker_list &list)
 {
-    if (line.substr(0, misdirectedPrefix.size()) == misdirectedPrefix) {
+    if (startsWith(line, misdirectedPrefix)) {
         if (auto lease = parseMisdirected(line))
             list.misdirected.push_back(std::move(*lease));
     } else if (auto witness = parseWitness(line)) {
@@ -93,7 +144,7 @@
 
 std::string toText(const worker_list &list)
 {
-    std::string text;
+    std::string text = livesToText(list.workers);
     for (const misdirected_lease &lease : list.misdirected)
         text.append(misdirectedPrefix)
             += std::to_string(lease.timeLeftMs) + '/' + lease.worker.value + '\n';
@@ -114,11 +165,16 @@
 worker_list parseWorkerList(std::string_view text)
 {
     worker_list list;
+    std::vector<std::int64_t> lives;
     std::size_t begin = 0;
     for (std::size_t end = text.find('\n'); end != std::string_view::npos;
          end = text.find('\n', begin)) {
         const std::string_view line = text.substr(begin, end - begin);
         begin = end + 1;
+        if (startsWith(line, livesPrefix)) {
+            lives = parseLives(line);
+            continue;
+        }
         if (!line.empty() && line.front() == ' ') {
             parseDetail(line, list);
             continue;
@@ -130,6 +186,7 @@
         if (!worker.id.empty())
             list.workers.push_back(std::move(worker));
     }
+    setLives(lives, list.workers);
     list.silent = parseSilentLeases(text.substr(begin));
     return list;
 }
--- a/packages/scheduler/worker_list.h
+++ b/packages/scheduler/worker_list.h
@@ -20,10 +20,13 @@
 {
     worker_id id;
     std::string address; ///< A later owner polls it even if service discovery lists it no longer.
+    /// Start of the incarnation that the owner knows; 0 if none, and in lists of earlier builds.
+    std::int64_t incarnationStartUnixMs = 0;
 
     friend bool operator==(const stored_worker &a, const stored_worker &b)
     {
-        return a.id == b.id && a.address == b.address;
+        return a.id == b.id && a.address == b.address
+            && a.incarnationStartUnixMs == b.incarnationStartUnixMs;
     }
 };
 
@@ -88,7 +91,8 @@
     }
 };
 
-/// Formats the misdirected leases as lines ` restarted/milliseconds/id`, the witnesses as lines
+/// Formats the incarnations as a line ` lives/milliseconds,milliseconds,...` in the order of the
+/// workers, the misdirected leases as lines ` restarted/milliseconds/id`, the witnesses as lines
 /// ` incarnation/milliseconds/id`, when the list was written as a line ` epoch/milliseconds`, and
 /// one worker a line, `id address`. Earlier builds skip the lines
 /// that begin with a space, and take the last of them for the time of writing. The silent leases
@@ -98,8 +102,8 @@
 
 /// Parses the output of toText(). Lines without a worker are skipped. If the part on silent leases
 /// is malformed it counts as empty, so that the longest possible leases are assumed; a malformed
-/// time or witness counts as absent, and a misdirected lease whose time is malformed as one of an
-/// hour.
+/// time or witness counts as absent, a misdirected lease whose time is malformed as one of an hour,
+/// and incarnations that are malformed or not one for each worker as unknown.
 worker_list parseWorkerList(std::string_view text);
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -286,8 +286,12 @@
     /// because a later owner would not know of them.
     bool isStoredAsSilent = false;
     completion_cursor completions;
-    std::int64_t incarnationStartUnixMs
-        = 0; ///< Start of the incarnation, as reported; 0 if not known.
+    /// Start of the incarnation, as reported to this owner, else as the former owner knew it; 0 if
+    /// not known.
+    std::int64_t incarnationStartUnixMs = 0;
+    /// The one that the durable list of workers names. Tasks start only in that incarnation, so
+    /// that a later owner can tell whether starts may have reached another one.
+    std::int64_t storedIncarnationStartUnixMs = 0;
     /// The known incarnation was still running at this time. Meaningful once it has reported.
     instant knownAliveAt;
     /// The worker may have stray runs, which are not the current run of any task. Its free
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -141,6 +141,8 @@
     if (isNewIncarnation)
         restartWorker(state, worker, report.incarnationStartUnixMs);
     worker.incarnationStartUnixMs = report.incarnationStartUnixMs;
+    if (worker.incarnationStartUnixMs != worker.storedIncarnationStartUnixMs)
+        state.isWorkerListDirty = true;
     worker.knownAliveAt = worker.pollSentAt;
     worker.lease.recordClock(report.clockMs, state.now);
     worker.clockCeiling.record(report.clockMs, worker.pollSentAt, state.now);
--- a/test/error/scheduler_worker_list_test.cpp
+++ b/test/error/scheduler_worker_list_test.cpp
@@ -12,8 +12,11 @@
 
 namespace {
 
-const worker_list sample{
-    {{{"w0"}, "10.0.0.1:80"}, {{"w1"}, ""}}, {{{"w1"}, 7, 5200}}, owner_moment{8, 123456}, {}, {}};
+const worker_list sample{{{{"w0"}, "10.0.0.1:80", 0}, {{"w1"}, "", 0}},
+                         {{{"w1"}, 7, 5200}},
+                         owner_moment{8, 123456},
+                         {},
+                         {}};
 
 worker_list withWitnesses()
 {
@@ -29,10 +32,18 @@
     return list;
 }
 
+worker_list withLives()
+{
+    worker_list list = withMisdirected();
+    list.workers[0].incarnationStartUnixMs = 1700000000125;
+    return list;
+}
+
 } // namespace
 
 TEST(WorkerList, IsReadAsWritten)
 {
+    EXPECT_EQ(parseWorkerList(toText(withLives())), withLives());
     EXPECT_EQ(parseWorkerList(toText(sample)), sample);
     EXPECT_EQ(parseWorkerList(toText(withWitnesses())), withWitnesses());
     EXPECT_EQ(parseWorkerList(toText(withMisdirected())), withMisdirected());
@@ -155,3 +166,21 @@
     EXPECT_LE(authority.endOf(1), start + 10s);
     EXPECT_EQ(authority.endOf(3), start + 30s);
 }
+
+// A host of an earlier build takes the line for none of the others.
+TEST(WorkerList, HasTheIncarnationsFirst)
+{
+    EXPECT_EQ(toText(withLives()), " lives/1700000000125,0\n" + toText(withMisdirected()));
+}
+
+TEST(WorkerList, KnowsNoIncarnationIfTheyCannotBeRead)
+{
+    for (const char *bad :
+         {"", "1", "1,2,3", "1,", "1,x", "x,2", "1;2", "1,-2", "1,,2", "1,99999999999999999999"}) {
+        const worker_list list = parseWorkerList(fmt::format(" lives/{}\n 8/5\nw0 a\nw1 b\n", bad));
+        ASSERT_EQ(list.workers.size(), 2U) << bad;
+        EXPECT_EQ(list.workers[0].incarnationStartUnixMs, 0) << bad;
+        EXPECT_EQ(list.workers[1].incarnationStartUnixMs, 0) << bad;
+        EXPECT_EQ(list.writtenAt, (owner_moment{8, 5})) << bad;
+    }
+}
--- a/test/failure/scheduler_restarts_test.cpp
+++ b/test/failure/scheduler_restarts_test.cpp
@@ -203,6 +203,30 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// The owner learns of the restart and is killed before it has stored that. The next one adopts the
+// run on the new life, whose lease is longer than any that it grants itself.
+TEST_F(restarted_worker, AnOwnerThatFindsAnotherLifeThanItsPredecessorWaitsForItsLongestLease)
+{
+    fake_host &next = world.addHost("host-2");
+    restart();
+    submit("b", 1);
+    while (worker.runs.empty())
+        world.run(1ms);
+    world.run(2 * messageDelay);
+    ASSERT_EQ(std::count(owner.events.begin(), owner.events.end(), "worker_restarted"), 1);
+    owner.isDead = true;
+    world.run(electionTime);
+    world.takeOver(next);
+    world.run(100ms);
+    ASSERT_EQ(worker.runs.count({{"b"}, 0, 0, 0}), 1U);
+    cutOff();
+    next.core.onWorker(world.now, world.addWorker("w1", "rack-1", {8000, 8000, 0}).info);
+    next.scheduleTick();
+    world.run(15s);
+    EXPECT_EQ((world.starts[{{"b"}, 0, 0, 0}]), 2);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 // CROCUSWIND_SEEDS sets the number of seeds for a longer run by hand, and CROCUSWIND_LATE the share
 // of commands that are carried out late.
 TEST(Restarts, DuplicateNoRun)
