Fence off pace commands that got no answer

Cause: a pace is sent when it differs from the last command. A command without an answer was forgotten once a newer one was answered, though it may be carried out seconds later, after that.

Change: a pace command without an answer raises the worker's fencing token, as a restart does, and the pace is sent again with the next report.

Why it works: the worker does nothing for a lower token once it has received a command or poll with the new one.

--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -410,6 +410,18 @@
     moveSlowRuns(state, worker);
 }
 
+void handlePaceResult(scheduler_state &state, const pace_command &command,
+                      const command_result &result)
+{
+    if (result.outcome == command_outcome::done)
+        return;
+    if (result.outcome == command_outcome::no_answer)
+        state.ports.fenceEarlierCommands(command.worker);
+    task_state *task = state.findTask(command.task);
+    if (task != nullptr && task->lastRun == command.run)
+        task->pacePercent = unknownPace;
+}
+
 void onRunConfirmed(scheduler_state &state, const worker_record &worker, const task_name &name,
                     task_state &task)
 {
--- a/packages/scheduler/pace_control.h
+++ b/packages/scheduler/pace_control.h
@@ -35,6 +35,11 @@
 /// tasks, and moves those that are slowed down for too long.
 void controlPace(scheduler_state &state, worker_record &worker);
 
+/// Handles the result of a pace command. One without an answer may be carried out seconds later,
+/// after newer ones, so it is fenced off, and the pace is sent again with the next report.
+void handlePaceResult(scheduler_state &state, const pace_command &command,
+                      const command_result &result);
+
 /// Handles the confirmation of a run. The run gets the pace of its image on the worker at once.
 void onRunConfirmed(scheduler_state &state, const worker_record &worker, const task_name &name,
                     task_state &task);
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -7,6 +7,7 @@
 #include "evacuation.h"
 #include "job_intake.h"
 #include "job_policy.h"
+#include "pace_control.h"
 #include "scheduler_state.h"
 #include "silent_workers.h"
 #include "task_lifecycle.h"
@@ -435,11 +436,9 @@
                                   const command_result &result)
 {
     m_implementation->setNow(now);
-    task_state *task = m_implementation->state.findTask(command.task);
-    const bool isCurrentRun = task != nullptr && task->lastRun == command.run;
-    // An unknown pace makes the next report of the worker send the pace again.
-    if (isCurrentRun && result.outcome != command_outcome::done)
-        task->pacePercent = unknownPace;
+    if (command.epoch != m_implementation->state.epoch || !m_implementation->state.isOwner)
+        return;
+    handlePaceResult(m_implementation->state, command, result);
 }
 
 void scheduler_core::onPollResult(instant now, const poll_command &command,
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -247,6 +247,9 @@
     /// Called before a worker carries out a command to stop a run.
     std::function<void(const fake_worker &, const stop_command &)> onStop
         = [](const fake_worker &, const stop_command &) {};
+    /// Returns how much later a pace command is executed, without an answer; 0 for at once.
+    std::function<duration(const pace_command &)> paceDelay
+        = [](const pace_command &) { return duration::zero(); };
     double lostResponseRate = 0; ///< Share of commands whose response is lost.
     /// Share of commands that get no response and are executed seconds later.
     double delayedCommandRate = 0;
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -350,12 +350,25 @@
 
 inline void fake_host::pace(const pace_command &command)
 {
-    fake_worker &worker = m_world.workers.at(command.worker);
-    worker.pacePercents[command.task] = command.percent;
-    m_world.at(m_world.now + 2 * messageDelay, [this, command] {
-        if (!isDead)
-            core.onPaceResult(m_world.now, command, {command_outcome::done, std::nullopt});
-    });
+    const duration delay = m_world.paceDelay(command);
+    const auto execute = [this, sent = withToken(command)] {
+        fake_worker &worker = m_world.workers.at(sent.worker);
+        if (sent.epoch < worker.highestEpoch)
+            return;
+        worker.highestEpoch = sent.epoch;
+        worker.pacePercents[sent.task] = sent.percent;
+    };
+    const bool isLate = delay > duration::zero();
+    if (isLate)
+        m_world.at(m_world.now + delay, execute);
+    else
+        execute();
+    m_world.at(m_world.now + (isLate ? responseTimeout : 2 * messageDelay),
+               [this, command, isLate] {
+                   const auto outcome = isLate ? command_outcome::no_answer : command_outcome::done;
+                   if (!isDead)
+                       core.onPaceResult(m_world.now, command, {outcome, std::nullopt});
+               });
 }
 
 inline void fake_host::poll(const poll_command &command)
