--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -2,14 +2,14 @@
 
 #include "job_intake.h"
 #include "job_policy.h"
+#include "leaving_records.h"
+#include "occurrences.h"
 #include "record_codec.h"
 #include "silent_workers.h"
 #include "task_lifecycle.h"
 
 #include <algorithm>
-#include <charconv>
 #include <fmt/format.h>
-#include <sstream>
 #include <utility>
 
 namespace crocuswind::scheduler {
@@ -20,9 +20,6 @@
 // more for its confirmation.
 constexpr std::size_t maxBatchEntries = 30;
 constexpr std::size_t maxConfirmingBatchEntries = maxBatchEntries - 1;
-// Limits the leaving records in a batch so that entries for jobs remain.
-constexpr std::size_t maxLeavingRecords = 12;
-
 /// Jobs with waiting callers and jobs that have ended are written first, up to this many entries.
 /// The remaining entries of the batch are filled in the order in which jobs became dirty.
 constexpr std::size_t maxCallerEntries = 22;
@@ -53,11 +50,6 @@
     return state.settings.keyPrefix + "workers";
 }
 
-std::string leavingPrefix(const scheduler_state &state)
-{
-    return state.settings.keyPrefix + "leaving/";
-}
-
 std::string modelKey(const scheduler_state &state)
 {
     return state.settings.keyPrefix + "interference";
@@ -68,71 +60,6 @@
     return text.substr(0, prefix.size()) == prefix;
 }
 
-// Returns true if all tasks that may be on the worker are known and no other task can start there.
-bool hasKnownTasks(const scheduler_state &state, const worker_record &worker)
-{
-    if (state.unreportedWorkers.contains(worker.info.id))
-        return state.unreportedWorkers.tasksOn(worker.info.id) != nullptr;
-    return worker.info.isDraining && !worker.hasStrayRuns;
-}
-
-// Returns the tasks that may have a run on the worker and those with a completion that is not
-// durable yet.
-std::set<task_name> tasksOn(const scheduler_state &state, const worker_record &worker)
-{
-    std::set<task_name> tasks;
-    if (const auto *inherited = state.unreportedWorkers.tasksOn(worker.info.id))
-        tasks = *inherited;
-    for (const auto &[name, run] : worker.runs)
-        tasks.insert(name);
-    for (const auto &[number, name] : worker.completions.unsettled())
-        tasks.insert(name);
-    return tasks;
-}
-
-// Adds the write or the removal of a worker's leaving record. No task is started on a worker with
-// such a record until the removal is durable.
-void addLeavingRecord(scheduler_state &state, const worker_id &id, commit_batch &batch)
-{
-    worker_record *worker = state.findWorker(id);
-    const bool isLeaving = worker != nullptr && hasKnownTasks(state, *worker);
-    if (worker != nullptr && !isLeaving && !worker->mayHaveLeavingRecord)
-        return;
-    state.committingLeaving[id] = isLeaving;
-    if (!isLeaving) {
-        batch.removedKeys.push_back(leavingPrefix(state) + id.value);
-        return;
-    }
-    worker->mayHaveLeavingRecord = true;
-    std::string text = fmt::format("{}\n", state.epoch);
-    for (const task_name &task : tasksOn(state, *worker))
-        text += toString(task) + '\n';
-    batch.puts.push_back({leavingPrefix(state) + id.value, std::move(text), 0});
-}
-
-void addLeavingRecords(scheduler_state &state, commit_batch &batch)
-{
-    for (auto i = state.leavingDue.begin();
-         i != state.leavingDue.end() && state.committingLeaving.size() < maxLeavingRecords;) {
-        const bool isDue = i->second <= state.now;
-        if (isDue)
-            addLeavingRecord(state, i->first, batch);
-        i = isDue ? state.leavingDue.erase(i) : std::next(i);
-    }
-}
-
-void finishLeavingRecords(scheduler_state &state)
-{
-    for (const auto &[id, isLeaving] : state.committingLeaving) {
-        if (worker_record *worker = state.findWorker(id)) {
-            worker->mayHaveLeavingRecord = isLeaving;
-            state.noteWorkerChanged(*worker);
-        }
-        state.isDispatchWanted = state.isDispatchWanted || !isLeaving;
-    }
-    state.committingLeaving.clear();
-}
-
 void addRecords(const scheduler_state &state, const job_record &job, commit_batch &batch)
 {
     if (job.finishedUnixMs != 0) {
@@ -256,39 +183,6 @@
         state.jobs.erase(name);
 }
 
-// Reads a leaving record. It limits the tasks that may be on the worker unless an owner after its
-// writer may have started tasks: that one may be of a build that keeps no such records.
-void readLeaving(scheduler_state &state, const worker_id &id, const std::string &text,
-                 const earlier_authority &authority)
-{
-    state.scheduleLeavingRecord(id, state.now);
-    if (worker_record *worker = state.findWorker(id))
-        worker->mayHaveLeavingRecord = true;
-    std::set<task_name> tasks;
-    std::istringstream lines(text);
-    std::string firstLine;
-    std::getline(lines, firstLine);
-    std::int64_t epoch = 0;
-    const char *const end = firstLine.data() + firstLine.size();
-    const auto [rest, error] = std::from_chars(firstLine.data(), end, epoch);
-    const bool isEpochRead = error == std::errc() && rest == end;
-    const std::int64_t lastConfirmed = authority.lastConfirmedEpochBefore(state.epoch);
-    const bool isCurrent = isEpochRead && epoch >= lastConfirmed && epoch < state.epoch;
-    state.logDetail("leaving_record", [&] {
-        return fmt::format("worker={} epoch={} last_confirmed_epoch={} is_current={}", id.value,
-                           epoch, lastConfirmed, isCurrent);
-    });
-    if (!isCurrent)
-        return;
-    for (std::string line; std::getline(lines, line);) {
-        const auto task = parseTaskName(line);
-        if (!task)
-            return;
-        tasks.insert(*task);
-    }
-    state.unreportedWorkers.limit(id, std::move(tasks));
-}
-
 // Keeps a finished job for queries until it expires, and resumes any other job.
 void resumeJob(scheduler_state &state, job_record &job, std::int64_t unixNowMs)
 {
@@ -371,17 +265,6 @@
         && !isMisdirectedLeaseUnstored(state);
 }
 
-bool isLeavingRecordDue(const scheduler_state &state)
-{
-    return std::any_of(state.leavingDue.begin(), state.leavingDue.end(),
-                       [&state](const auto &entry) { return entry.second <= state.now; });
-}
-
-bool isLeavingRecordPending(const scheduler_state &state, const worker_id &id)
-{
-    return state.leavingDue.count(id) != 0 || state.committingLeaving.count(id) != 0;
-}
-
 job_waiters &markDirty(scheduler_state &state, const job_record &job)
 {
     const auto [found, isNew] = state.waiters.try_emplace(job.spec.name);
@@ -463,9 +346,7 @@
     }
     state.isWorkerListDirty = state.isWorkerListDirty || state.committingWorkers.has_value();
     state.committingWorkers.reset();
-    for (const auto &[id, isLeaving] : state.committingLeaving)
-        state.scheduleLeavingRecord(id, state.now);
-    state.committingLeaving.clear();
+    requeueLeavingRecords(state);
     state.storedModel.clear();
     state.nextConfirmAt = state.now;
     state.nextCommitAt = state.now + refusedCommitBackoff;
@@ -511,8 +392,8 @@
         if (startsWith(record.key, progressPrefix))
             readProgress(state, record, {record.key.substr(progressPrefix.size())});
         else if (startsWith(record.key, leavingPrefix(state)))
-            readLeaving(state, {record.key.substr(leavingPrefix(state).size())}, record.value,
-                        authority);
+            readLeavingRecord(state, {record.key.substr(leavingPrefix(state).size())}, record.value,
+                              authority);
     }
     for (auto &[name, job] : state.jobs)
         resumeJob(state, *job, unixNowMs);
--- a/packages/scheduler/commit_log.h
+++ b/packages/scheduler/commit_log.h
@@ -10,13 +10,6 @@
 /// stores what the successor can't learn from the workers in time.
 bool isHandoverFlushOver(const scheduler_state &state);
 
-/// Returns true if the leaving record of any worker is to be written or removed by now.
-bool isLeavingRecordDue(const scheduler_state &state);
-
-/// Returns true if a write or removal of the worker's leaving record is scheduled or in flight, so
-/// that an outdated leaving record may be in the store.
-bool isLeavingRecordPending(const scheduler_state &state, const worker_id &id);
-
 /// Marks the record of \p job as changed. Returns the calls and completions that wait until the
 /// record is durable.
 job_waiters &markDirty(scheduler_state &state, const job_record &job);
--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "run_binding.h"
 #include "task_lifecycle.h"
 #include "worker_choice.h"
+#include "worker_chooser.h"
 #include "worker_polls.h"
 #include "yielding_runs.h"
 
--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -4,7 +4,7 @@
 #include "disruption_budget.h"
 #include "fair_share.h"
 #include "task_lifecycle.h"
-#include "worker_choice.h"
+#include "worker_chooser.h"
 #include "yielding_runs.h"
 
 #include <algorithm>
--- a/packages/scheduler/task_lifecycle.h
+++ b/packages/scheduler/task_lifecycle.h
@@ -1,30 +1,14 @@
-/// Implements the transitions between the phases of a task: release, completion, loss and stop.
+/// Implements the transitions between the phases of a task after its release: completion, loss and
+/// stop.
 /// Private to the package.
 #ifndef CROCUSWIND_SCHEDULER_TASK_LIFECYCLE_H
 #define CROCUSWIND_SCHEDULER_TASK_LIFECYCLE_H
 
 #include "scheduler_state.h"
 
-namespace crocuswind::scheduler {
-
-/// Schedules the occurrences of a job that has just become durable and releases those that are due.
-void releaseDueOccurrences(scheduler_state &state, job_record &job);
-
-/// Restores the occurrences of a job taken over from another owner. Tasks that the other owner may
-/// have started become `unlocated`.
-void resumeOccurrences(scheduler_state &state, job_record &job);
+#include <functional>
 
-/// Releases all occurrences that are due. Only then are their tasks created, so that memory follows
-/// what is due and not the number of repetitions.
-void releaseOccurrences(scheduler_state &state);
-
-/// Returns a task that a worker has reported, or null if no job has it. An earlier owner, whose
-/// clock may differ, has released its occurrence; the tasks of the occurrence are created if they
-/// are missing.
-task_state *findReportedTask(scheduler_state &state, const task_name &name);
-
-/// Releases the `unlocated` tasks that no unreported worker can be running, so that they may start.
-void releaseUnlocatedTasks(scheduler_state &state);
+namespace crocuswind::scheduler {
 
 /// Records that all runs on the worker that an earlier owner started are known or have ended.
 /// Returns true if releaseUnlocatedTasks() may release tasks now, which looks at all jobs: call it
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -1,5 +1,6 @@
 #include "worker_reports.h"
 
+#include "occurrences.h"
 #include "pace_control.h"
 #include "run_binding.h"
 #include "silent_workers.h"
--- a/test/correctness/scheduler_worker_choice_test.cpp
+++ b/test/correctness/scheduler_worker_choice_test.cpp
@@ -4,6 +4,7 @@
 #include "correctness/job_submission.h"
 #include "scheduler/run_binding.h"
 #include "scheduler/worker_choice.h"
+#include "scheduler/worker_chooser.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -283,6 +283,7 @@
 
 } // namespace crocuswind::scheduler
 
+#include "scheduler_host_impl.h"
 #include "scheduler_world_impl.h"
 
 #endif
