Write the list of workers once for a worker that names no life

Cause: compared each report with the life in the stored list. A worker whose reports name none, but whose entry does, differed for ever, and the list was written with each report. Change: a report without a life differs from none; one function tells for eligibility and for writing.

--- a/packages/scheduler/worker_choice.cpp
+++ b/packages/scheduler/worker_choice.cpp
@@ -27,13 +27,6 @@
         || worker.info.incarnationStartUnixMs == worker.incarnationStartUnixMs;
 }
 
-// Returns false if a later owner would find another incarnation in the store.
-bool isIncarnationStored(const worker_record &worker)
-{
-    return worker.incarnationStartUnixMs == 0
-        || worker.storedIncarnationStartUnixMs == worker.incarnationStartUnixMs;
-}
-
 // Adds the first reason why the worker cannot take the task.
 void countRefusal(const scheduler_state &state, const worker_request &request,
                   const worker_record &worker, const std::vector<double> &coefficients,
--- a/packages/scheduler/worker_incarnation.cpp
+++ b/packages/scheduler/worker_incarnation.cpp
@@ -51,6 +51,12 @@
             && state.now - *worker.unacknowledgedSince >= longestUnacknowledged);
 }
 
+bool isIncarnationStored(const worker_record &worker)
+{
+    return worker.incarnationStartUnixMs == 0
+        || worker.storedIncarnationStartUnixMs == worker.incarnationStartUnixMs;
+}
+
 bool mayOutliveLease(const scheduler_state &state, const bound_run &run)
 {
     const bool isAnswered = run.task->phase == task_phase::running;
--- a/packages/scheduler/worker_incarnation.h
+++ b/packages/scheduler/worker_incarnation.h
@@ -23,6 +23,10 @@
 /// that acknowledges them has no answer yet, or starts without an answer have delayed it for long.
 bool isAcknowledging(const scheduler_state &state, const worker_record &worker);
 
+/// Returns false if a later owner would find another incarnation than the reported one in the
+/// store.
+bool isIncarnationStored(const worker_record &worker);
+
 /// Returns true if the run, whose start no answer has shown to be of the known incarnation, may go
 /// on in a later one after the known incarnation's lease has lapsed. Never true of a continuous
 /// run: it is needed elsewhere before that could be ruled out, and a crash for good looks the same.
@@ -30,9 +34,8 @@
 
 /// Handles a restart of the worker: gives up the runs of the former incarnation, resets clock,
 /// completions and lease, and fences off the commands sent so far. The answer to a later poll shows
-/// which other runs exist. \p incarnationStartUnixMs
-/// is 0 if only a clock reading shows the restart: an answer that was read late can look like one,
-/// so no run is given up then.
+/// which other runs exist. \p incarnationStartUnixMs is 0 if only a clock reading shows the
+/// restart: an answer that was read late can look like one, so no run is given up then.
 void restartWorker(scheduler_state &state, worker_record &worker,
                    std::int64_t incarnationStartUnixMs);
 
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -142,7 +142,7 @@
     if (isNewIncarnation)
         restartWorker(state, worker, report.incarnationStartUnixMs);
     worker.incarnationStartUnixMs = report.incarnationStartUnixMs;
-    if (worker.incarnationStartUnixMs != worker.storedIncarnationStartUnixMs)
+    if (!isIncarnationStored(worker))
         state.isWorkerListDirty = true;
     worker.knownAliveAt = worker.pollSentAt;
     worker.lease.recordClock(report.clockMs, state.now);
--- a/test/correctness/scheduler_host_impl.h
+++ b/test/correctness/scheduler_host_impl.h
@@ -237,6 +237,8 @@
         m_world.store.erase(key);
     for (const store_put &put : batch.puts)
         m_world.store[put.key] = put.value;
+    for (const store_put &put : batch.puts)
+        ++m_world.writes[put.key];
     if (batch.confirmsOwnership)
         m_world.confirmOwnership(*this, sentAt);
     core.onCommitted(m_world.now);
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -230,6 +230,7 @@
     std::map<worker_id, fake_worker> workers;
     std::vector<std::unique_ptr<fake_host>> hosts;
     std::map<std::string, std::string> store;
+    std::map<std::string, int> writes; ///< Number of writes of each key of the store.
     std::int64_t storeEpoch = 0;
     owner_confirmation lastConfirmation; ///< In the store.
     owner_confirmation formerConfirmation; ///< The last one before the epoch of the store.
--- a/test/failure/scheduler_restarts_test.cpp
+++ b/test/failure/scheduler_restarts_test.cpp
@@ -227,6 +227,20 @@
     EXPECT_EQ(world.violations, std::vector<std::string>());
 }
 
+// The list of workers named the life of the entry, and each report seemed to differ from it.
+TEST_F(restarted_worker, AWorkerThatDoesNotNameItsLifeCausesNoWrites)
+{
+    worker.reportsItsLife = false;
+    world.run(2s);
+    const std::string key = scheduler_settings().keyPrefix + "workers";
+    const int before = world.writes[key];
+    world.run(10s);
+    EXPECT_EQ(world.writes[key], before);
+    submit("b", 1);
+    world.run(1s);
+    EXPECT_EQ(worker.runs.size(), 3U);
+}
+
 // CROCUSWIND_SEEDS sets the number of seeds for a longer run by hand, and CROCUSWIND_LATE the share
 // of commands that are carried out late.
 TEST(Restarts, DuplicateNoRun)
