--- a/packages/scheduler/worker_list.cpp
+++ b/packages/scheduler/worker_list.cpp
@@ -16,18 +16,18 @@
 constexpr std::string_view misdirectedPrefix = " restarted/";
 
 /// Begins the line of the incarnations.
-constexpr std::string_view livesPrefix = " lives/";
+constexpr std::string_view incarnationsPrefix = " lives/";
 
 bool startsWith(std::string_view text, std::string_view prefix)
 {
     return text.substr(0, prefix.size()) == prefix;
 }
 
-// Parses a line that begins with livesPrefix. Returns nothing if it is malformed.
-std::vector<std::int64_t> parseLives(std::string_view line)
+// Parses a line that begins with incarnationsPrefix. Returns nothing if it is malformed.
+std::vector<std::int64_t> parseIncarnations(std::string_view line)
 {
-    std::vector<std::int64_t> lives;
-    const char *next = line.data() + livesPrefix.size();
+    std::vector<std::int64_t> starts;
+    const char *next = line.data() + incarnationsPrefix.size();
     const char *const end = line.data() + line.size();
     while (next < end) {
         std::int64_t start = 0;
@@ -35,14 +35,14 @@
         const bool isRead = error == std::errc() && start >= 0 && (rest == end || *rest == ',');
         if (!isRead)
             return {};
-        lives.push_back(start);
+        starts.push_back(start);
         next = rest + 1;
     }
-    return lives;
+    return starts;
 }
 
 // Returns the line of the incarnations, or nothing if none is known.
-std::string livesToText(const std::vector<stored_worker> &workers)
+std::string incarnationsToText(const std::vector<stored_worker> &workers)
 {
     const bool areKnown = std::any_of(workers.begin(), workers.end(), [](const stored_worker &w) {
         return w.incarnationStartUnixMs != 0;
@@ -50,7 +50,7 @@
     std::string text;
     if (!areKnown)
         return text;
-    text = livesPrefix;
+    text = incarnationsPrefix;
     for (const stored_worker &worker : workers)
         text += std::to_string(worker.incarnationStartUnixMs) + ',';
     text.back() = '\n';
@@ -58,12 +58,12 @@
 }
 
 // Sets the incarnations of the workers if there is one for each.
-void setLives(const std::vector<std::int64_t> &lives, std::vector<stored_worker> &workers)
+void setIncarnations(const std::vector<std::int64_t> &starts, std::vector<stored_worker> &workers)
 {
-    if (lives.size() != workers.size())
+    if (starts.size() != workers.size())
         return;
-    for (std::size_t i = 0; i < lives.size(); ++i)
-        workers[i].incarnationStartUnixMs = lives[i];
+    for (std::size_t i = 0; i < starts.size(); ++i)
+        workers[i].incarnationStartUnixMs = starts[i];
 }
 
 std::vector<silent_lease> parseSilentLeases(std::string_view text)
@@ -144,7 +144,7 @@
 
 std::string toText(const worker_list &list)
 {
-    std::string text = livesToText(list.workers);
+    std::string text = incarnationsToText(list.workers);
     for (const misdirected_lease &lease : list.misdirected)
         text.append(misdirectedPrefix)
             += std::to_string(lease.timeLeftMs) + '/' + lease.worker.value + '\n';
@@ -165,14 +165,14 @@
 worker_list parseWorkerList(std::string_view text)
 {
     worker_list list;
-    std::vector<std::int64_t> lives;
+    std::vector<std::int64_t> starts;
     std::size_t begin = 0;
     for (std::size_t end = text.find('\n'); end != std::string_view::npos;
          end = text.find('\n', begin)) {
         const std::string_view line = text.substr(begin, end - begin);
         begin = end + 1;
-        if (startsWith(line, livesPrefix)) {
-            lives = parseLives(line);
+        if (startsWith(line, incarnationsPrefix)) {
+            starts = parseIncarnations(line);
             continue;
         }
         if (!line.empty() && line.front() == ' ') {
@@ -186,7 +186,7 @@
         if (!worker.id.empty())
             list.workers.push_back(std::move(worker));
     }
-    setLives(lives, list.workers);
+    setIncarnations(starts, list.workers);
     list.silent = parseSilentLeases(text.substr(begin));
     return list;
 }
