--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -287,11 +287,19 @@
     }
     if (lost.empty())
         return;
-    state.ports.log(
-        "runs_lost",
-        fmt::format("worker={} runs={} reason={}", worker.info.id.value, lost.size(), reason));
+    state.ports.log("runs_lost",
+                    fmt::format("worker={} runs={} reason={} born={} bound={}",
+                                worker.info.id.value, lost.size(), reason,
+                                worker.incarnationStartUnixMs,
+                                toWord(worker.lease.latestSource())));
     for (const task_name &name : lost) {
-        task_state &task = *worker.runs.at(name).task;
+        const bound_run &run = worker.runs.at(name);
+        state.logDetail("run_given_up", [&] {
+            return fmt::format("job={} task={} run={} worker={} reason={} confirmed={}",
+                               name.job.value, toString(name), run.run, worker.info.id.value,
+                               reason, run.isConfirmed);
+        });
+        task_state &task = *run.task;
         unbindRun(state, name, task);
         requeue(state, name, task);
         // The run may have ended when the worker fell silent, long before its lease lapsed.
--- a/packages/scheduler/worker_incarnation.cpp
+++ b/packages/scheduler/worker_incarnation.cpp
@@ -69,8 +69,10 @@
                    std::int64_t incarnationStartUnixMs)
 {
     state.ports.log("worker_restarted",
-                    fmt::format("worker={} born_before={} born={}", worker.info.id.value,
-                                worker.incarnationStartUnixMs, incarnationStartUnixMs));
+                    fmt::format("worker={} born_before={} born={} stored_born={} has_reported={}",
+                                worker.info.id.value, worker.incarnationStartUnixMs,
+                                incarnationStartUnixMs, worker.storedIncarnationStartUnixMs,
+                                worker.hasReported));
     // The runs of the former incarnation ended with it. The others are kept until the next report,
     // because they may have been started in the new incarnation already. The new incarnation, whose
     // clock starts anew, may carry out commands meant for the former one, and their leases may then
--- a/packages/scheduler/worker_record.cpp
+++ b/packages/scheduler/worker_record.cpp
@@ -28,6 +28,21 @@
 
 } // namespace
 
+const char *toWord(lease_source source)
+{
+    switch (source) {
+    case lease_source::none:
+        return "none";
+    case lease_source::granted:
+        return "granted";
+    case lease_source::inherited:
+        return "inherited";
+    case lease_source::misdirected:
+        return "misdirected";
+    }
+    return "unknown";
+}
+
 void worker_lease::recordClock(std::int64_t clockMs, instant now)
 {
     // Among recent readings, the one that puts the worker's clock furthest ahead had the shortest
@@ -55,16 +70,28 @@
     return until;
 }
 
-instant worker_lease::lapsesBy() const
+instant worker_lease::grantLapsesBy() const
 {
-    const instant inherited
-        = std::max(m_inheritedUntil.value_or(instant()), m_misdirectedUntil.value_or(instant()));
     if (!m_reading)
-        return inherited;
+        return instant();
     const double leftMs = double(m_grantedUntilMs - m_reading->clockMs) / (1 - maxClockSlowness);
-    const instant granted
-        = m_reading->at + std::chrono::milliseconds(std::int64_t(std::ceil(leftMs)));
-    return std::max(inherited, granted);
+    return m_reading->at + std::chrono::milliseconds(std::int64_t(std::ceil(leftMs)));
+}
+
+instant worker_lease::lapsesBy() const
+{
+    return std::max({grantLapsesBy(), m_inheritedUntil.value_or(instant()),
+                     m_misdirectedUntil.value_or(instant())});
+}
+
+lease_source worker_lease::latestSource() const
+{
+    const instant latest = lapsesBy();
+    if (m_misdirectedUntil && *m_misdirectedUntil == latest)
+        return lease_source::misdirected;
+    if (m_inheritedUntil && *m_inheritedUntil == latest)
+        return lease_source::inherited;
+    return isGranted() ? lease_source::granted : lease_source::none;
 }
 
 void worker_lease::dropLapsedMisdirected(instant now)
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -98,6 +98,17 @@
 /// Maximum relative rate by which a worker's clock may be slower than the owner's.
 constexpr double maxClockSlowness = 0.02;
 
+/// What bounds a worker's lease.
+enum class lease_source {
+    none, ///< Nobody can have granted one.
+    granted, ///< Commands of this owner.
+    inherited, ///< Commands of earlier owners, to the incarnation that they knew.
+    misdirected, ///< Commands that were meant for an earlier incarnation.
+};
+
+/// Returns the word for a log line.
+const char *toWord(lease_source source);
+
 /// Relates a worker's clock to the owner's clock, and tracks how long the worker's lease may last.
 class worker_lease
 {
@@ -128,6 +139,9 @@
     /// Returns the latest time at which the lease lapses, under the same assumptions.
     instant lapsesBy() const;
 
+    /// Returns which of the bounds of `lapsesBy()` is the latest.
+    lease_source latestSource() const;
+
     /// Notes that an earlier owner may have granted a lease, which lapses at \p latest at the
     /// latest.
     void limitLapse(instant latest) { m_inheritedUntil = latest; }
@@ -159,6 +173,10 @@
         std::int64_t clockMs = 0;
         instant at;
     };
+
+    /// Returns the latest end of a lease by commands of this owner, or instant() without one.
+    instant grantLapsesBy() const;
+
     std::optional<reading> m_reading;
     std::int64_t m_grantedUntilMs = 0; ///< On the worker's clock.
     std::optional<instant> m_inheritedUntil;
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -131,6 +131,17 @@
     }
 }
 
+// Logs which incarnation this owner takes the worker for from now on.
+void logFirstReport(scheduler_state &state, const worker_record &worker)
+{
+    state.logDetail("incarnation_known", [&] {
+        return fmt::format("worker={} born={} stored_born={} bound={} is_former={}",
+                           worker.info.id.value, worker.incarnationStartUnixMs,
+                           worker.storedIncarnationStartUnixMs, toWord(worker.lease.latestSource()),
+                           state.unreportedWorkers.contains(worker.info.id));
+    });
+}
+
 void handleReport(scheduler_state &state, worker_record &worker, const poll_command &command,
                   const worker_report &report)
 {
@@ -172,6 +183,7 @@
     // run.
     const bool isFenced = command.number > worker.lastPollBeforeFence;
     if (!worker.hasReported && isFenced) {
+        logFirstReport(state, worker);
         if (worker.lease.misdirectedUntil())
             worker.lease.limitMisdirectedLapse(state.now + state.settings.longestLease);
         worker.hasReported = true;
@@ -242,9 +254,10 @@
     const auto since
         = std::chrono::duration_cast<std::chrono::milliseconds>(state.now - state.tookOverAt);
     state.ports.log("former_worker_given_up",
-                    fmt::format("worker={} last_lease_epoch={} stored_as_silent={} failed_polls={} "
-                                "since_take_over_ms={}",
-                                worker.info.id.value, worker.lastLeaseEpoch,
+                    fmt::format("worker={} born={} bound={} last_lease_epoch={} "
+                                "stored_as_silent={} failed_polls={} since_take_over_ms={}",
+                                worker.info.id.value, worker.incarnationStartUnixMs,
+                                toWord(worker.lease.latestSource()), worker.lastLeaseEpoch,
                                 worker.isStoredAsSilent, worker.failedPolls, since.count()));
 }
 
