Reproduce tasks that run twice on lives that no owner has heard of

Cause: a worker that is back under its id carries out starts that were meant for its former life; nothing played that together with the loss of the owner that sent them.

--- a/test/correctness/scheduler_host_impl.h
+++ b/test/correctness/scheduler_host_impl.h
@@ -49,6 +49,10 @@
     const auto arrive = [this, command, execute, deliver, isDelayed, isResponseLost, bootedAt] {
         fake_worker &worker = m_world.workers.at(command.worker);
         const bool isRefused = !worker.isUp && worker.refusesConnections;
+        const bool isHeld = !worker.isUp && !isRefused && m_world.holdsCommandsOfDownWorkers
+            && unreachableWorkers.count(command.worker) == 0;
+        if (isHeld)
+            worker.heldCommands.push_back([execute, &worker] { execute(worker); });
         if ((!worker.isUp && !isRefused)
             || (unreachableWorkers.count(command.worker) != 0 && !isDelayed)
             || (isDelayed && worker.bootedAt != bootedAt
@@ -180,6 +184,13 @@
     const bool isUnreachable = unreachableWorkers.count(command.worker) != 0;
     const bool isRefused
         = isUnreachable ? partitionRefusesConnections : !worker.isUp && worker.refusesConnections;
+    const bool isHeld = !worker.isUp && !isUnreachable && !isRefused && worker.bootedAt == bootedAt
+        && m_world.holdsCommandsOfDownWorkers;
+    if (isHeld)
+        worker.heldCommands.push_back([this, command, &worker] {
+            if (command.epoch >= worker.highestEpoch)
+                m_world.report(worker, command);
+        });
     if (((isUnreachable || !worker.isUp) && !isRefused) || worker.bootedAt != bootedAt)
         return;
     poll_result result;
--- a/test/correctness/scheduler_world.h
+++ b/test/correctness/scheduler_world.h
@@ -54,6 +54,8 @@
     bool refusesConnections
         = false; ///< While it is down, connections are refused instead of timing out.
     bool reportsItsLife = true; ///< Its reports name the start of its present life.
+    /// Commands that arrived while it was down, to be carried out by its next life.
+    std::vector<std::function<void()>> heldCommands;
     bool isReplaced = false; ///< Another worker listens at its address.
     bool isListed = true; ///< Service discovery lists this worker.
     bool reachesStore = true; ///< Its new entries reach service discovery.
@@ -257,6 +259,9 @@
     /// A delayed command is executed by whichever life of the worker is there by then. Otherwise
     /// only by the one to which it was sent.
     bool delayedCommandsOutliveRestarts = false;
+    /// Commands that arrive while a worker is down, and does not refuse connections, are executed
+    /// by its next life as soon as that is up. They get no response.
+    bool holdsCommandsOfDownWorkers = false;
 
     // Observations.
     std::vector<std::string> violations; ///< Guarantees that a start has broken.
--- a/test/correctness/scheduler_world_impl.h
+++ b/test/correctness/scheduler_world_impl.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace crocuswind::scheduler {
 
@@ -384,6 +385,9 @@
     worker.formerEntry = worker.entry();
     worker.info.incarnationStartUnixMs = worker.incarnationStartMs();
     at(now + checkInDelay, [this, &worker, bootedAt = now] { checkIn(worker, bootedAt); });
+    const auto held = std::exchange(worker.heldCommands, {});
+    for (const auto &execute : held)
+        execute();
 }
 
 inline void scheduler_world::checkIn(fake_worker &worker, instant bootedAt)
