Wait for runs on lives that no owner has heard of

Cause: a new owner bounded what may run on a worker that does not report by the authority of its predecessor, which bounds leases of the life that it knew. A later life, which has answered nobody, counts the same deadline from a clock that started anew, so that its lease lasts the longest lease (10 s) from when it carries the start out. Change: beside the lease of the known life, each former worker has a bound for runs on a life without an answer: the end of the predecessor's authority plus the longest lease on the slowest clock. Tasks that must run once wait for it; continuous tasks, and tasks that allow duplicates, wait for the lease of the known life only, as before (a continuous task has to run again within 9 s). It counts once for owners in turn. The stored list names, for silent workers, how long runs of starts without an answer may last (lines unanswered/...), so that a worker that fell silent without such starts is not waited for. Unanswered starts and misdirected leases of a living owner count the slowest clock too (10.2 s for 10 s).

--- a/packages/scheduler/absent_tasks.cpp
+++ b/packages/scheduler/absent_tasks.cpp
@@ -33,7 +33,8 @@
 const worker_record *lastAwaitedWorker(scheduler_state &state, const task_name &name)
 {
     const worker_record *last = nullptr;
-    for (const worker_id &id : state.unreportedWorkers.workersThatMayHave(name)) {
+    for (const worker_id &id :
+         state.unreportedWorkers.workersThatMayHave(name, possible_incarnation::known)) {
         const worker_record *worker = state.findWorker(id);
         const bool isLater = worker != nullptr
             && (last == nullptr || last->lease.lapsesBy() < worker->lease.lapsesBy());
--- a/packages/scheduler/evacuation.cpp
+++ b/packages/scheduler/evacuation.cpp
@@ -84,7 +84,8 @@
     // this new owner.
     bool mayStartAgain(const task_name &name, const bound_run &run) const
     {
-        return !run.job->isRecovered || !m_state.unreportedWorkers.mayHave(name);
+        return !run.job->isRecovered
+            || !m_state.unreportedWorkers.mayHave(name, possibleIncarnationOf(*run.step));
     }
 
     // Counts the disruption. Returns false if the step can't do without the task for the time of a
--- a/packages/scheduler/former_list.h
+++ b/packages/scheduler/former_list.h
@@ -12,9 +12,9 @@
 
 namespace crocuswind::scheduler {
 
-/// The silent and misdirected leases of a list of workers, which each last until a fixed time after
-/// the list was written. The hosts share no clock; they both know the clocks of the workers, so
-/// that a worker's clock tells the reader how long ago that was at least.
+/// The silent and misdirected leases and the unanswered runs of a list of workers, which each last
+/// until a fixed time after the list was written. The hosts share no clock; they both know the
+/// clocks of the workers, so that a worker's clock tells the reader how long ago that was at least.
 class former_list
 {
 public:
@@ -40,9 +40,12 @@
     /// Returns the latest time at which the lease lapses.
     instant lapseOf(const silent_lease &lease) const { return lapseAfter(lease.timeLeftMs); }
     instant lapseOf(const misdirected_lease &lease) const { return lapseAfter(lease.timeLeftMs); }
+    /// Returns the latest time at which the runs end.
+    instant endOf(const unanswered_runs &runs) const { return lapseAfter(runs.timeLeftMs); }
 
     const std::map<worker_id, silent_lease> &silent() const { return m_silent; }
     const std::vector<misdirected_lease> &misdirected() const { return m_misdirected; }
+    const std::vector<unanswered_runs> &unanswered() const { return m_unanswered; }
     const std::optional<owner_moment> &writtenAt() const { return m_writtenAt; }
     const std::vector<clock_witness> &witnesses() const { return m_witnesses; }
 
@@ -51,6 +54,7 @@
 
     std::map<worker_id, silent_lease> m_silent;
     std::vector<misdirected_lease> m_misdirected;
+    std::vector<unanswered_runs> m_unanswered;
     std::optional<owner_moment> m_writtenAt;
     std::vector<clock_witness> m_witnesses;
     instant m_writtenBy;
--- a/packages/scheduler/occurrences.cpp
+++ b/packages/scheduler/occurrences.cpp
@@ -58,12 +58,14 @@
     std::int64_t released = 0;
     for (int step = 0; step < int(occurrence.steps.size()); ++step) {
         const bool canStart = canStepStart(job, occurrence, step);
+        const possible_incarnation where = possibleIncarnationOf(job.spec.steps[std::size_t(step)]);
         bool hasWaiting = false;
         auto &tasks = occurrence.steps[std::size_t(step)];
         for (int index = 0; index < int(tasks.size()); ++index) {
             task_state &task = tasks[std::size_t(index)];
             const bool isHeld = task.phase != task_phase::unlocated
-                || state.unreportedWorkers.mayHave({job.spec.name, occurrence.number, step, index});
+                || state.unreportedWorkers.mayHave({job.spec.name, occurrence.number, step, index},
+                                                   where);
             if (isHeld)
                 continue;
             ++released;
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -180,7 +180,7 @@
                     fmt::format("epoch={} jobs={} workers={} former_workers={}", epoch,
                                 state.jobs.size(), state.workers.size(),
                                 state.unreportedWorkers.size()));
-    if (!state.unreportedWorkers.mayHaveAny())
+    if (!state.unreportedWorkers.mayHaveAny(possible_incarnation::known))
         releaseUnlocatedTasks(state);
     i.runFollowUps();
 }
--- a/packages/scheduler/silent_workers.cpp
+++ b/packages/scheduler/silent_workers.cpp
@@ -1,5 +1,7 @@
 #include "silent_workers.h"
 
+#include "worker_incarnation.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <set>
@@ -126,6 +128,18 @@
     return leases;
 }
 
+// Returns the runs on silent workers that may last on incarnations without an answer.
+std::vector<unanswered_runs> unansweredRuns(const scheduler_state &state)
+{
+    std::vector<unanswered_runs> runs;
+    for (const auto &[id, worker] : state.workers) {
+        const auto end = unansweredRunsEnd(state, worker);
+        if (end && isSilent(state, worker))
+            runs.push_back({id, timeLeftMs(state, *end)});
+    }
+    return runs;
+}
+
 // Returns the start of the incarnation that the owner knows, before the first report that of the
 // entry, or 0.
 std::int64_t knownIncarnation(const worker_record &worker)
@@ -147,8 +161,9 @@
     if (misdirectedUntil && (state.now >= state.nextSilentListAt || state.now > *misdirectedUntil))
         return true;
     if (isSilent(state, worker)) {
-        const bool isTimeLeftDue
-            = state.now >= state.nextSilentListAt && !worker.lease.hasLapsed(state.now);
+        const bool mayHaveRuns
+            = !worker.lease.hasLapsed(state.now) || unansweredRunsEnd(state, worker);
+        const bool isTimeLeftDue = state.now >= state.nextSilentListAt && mayHaveRuns;
         return !worker.isStoredAsSilent || isTimeLeftDue;
     }
     return worker.isStoredAsSilent && worker.hasReported && worker.failedPolls == 0;
@@ -201,6 +216,7 @@
             state.noteWorkerChanged(worker);
     }
     list.misdirected = isCarried ? state.formerList.misdirected() : misdirectedLeases(state);
+    list.unanswered = isCarried ? state.formerList.unanswered() : unansweredRuns(state);
     state.nextSilentListAt = state.now + silentListInterval;
     if (list.silent.empty() && list.misdirected.empty())
         return list;
@@ -252,7 +268,11 @@
         worker.incarnationStartUnixMs = stored.incarnationStartUnixMs;
         worker.storedIncarnationStartUnixMs = stored.incarnationStartUnixMs;
         worker.lastLeaseEpoch = lastLeaseEpoch;
-        worker.lease.limitLapse(authority.endOf(worker.lastLeaseEpoch));
+        const instant authorityEnd = authority.endOf(worker.lastLeaseEpoch);
+        worker.lease.limitLapse(authorityEnd);
+        // No command is sent in the last second of an authority, so that none is carried out later.
+        if (lastLeaseEpoch > 0)
+            worker.unansweredUntil = longestRunEnd(state, authorityEnd);
         state.unreportedWorkers.add(stored.id);
     }
     const instant writtenBy = list.writtenAt
@@ -274,6 +294,11 @@
         worker->lastLeaseEpoch = std::min(lease.lastEpoch, lastLeaseEpoch);
         worker->lease.limitLapse(
             std::min(authority.endOf(worker->lastLeaseEpoch), state.formerList.lapseOf(lease)));
+        worker->unansweredUntil.reset(); // The list says which silent workers may have such runs.
+    }
+    for (const unanswered_runs &runs : list.unanswered) {
+        if (worker_record *worker = state.findWorker(runs.worker))
+            worker->unansweredUntil = state.formerList.endOf(runs);
     }
 }
 
@@ -296,6 +321,12 @@
         if (worker != nullptr && isLeaseInherited(state, *worker))
             worker->lease.tightenLapse(state.formerList.lapseOf(lease));
     }
+    for (const unanswered_runs &runs : state.formerList.unanswered()) {
+        worker_record *worker = state.findWorker(runs.worker);
+        if (worker != nullptr && worker->unansweredUntil)
+            worker->unansweredUntil
+                = std::min(*worker->unansweredUntil, state.formerList.endOf(runs));
+    }
     for (const misdirected_lease &lease : state.formerList.misdirected()) {
         worker_record *found = state.findWorker(lease.worker);
         if (found != nullptr && !hasRestarted(state, *found))
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -217,7 +217,7 @@
     if (!state.unreportedWorkers.erase(worker))
         return false;
     state.noteRunsChanged(*state.findWorker(worker));
-    return !state.unreportedWorkers.mayHaveAny();
+    return !state.unreportedWorkers.mayHaveAny(possible_incarnation::known);
 }
 
 void markReported(scheduler_state &state, const worker_id &worker)
@@ -237,7 +237,8 @@
     // An earlier owner may have started a later run on a worker that has not reported yet, or may
     // have released the occurrence before it is due by the clock of this owner.
     const bool isHeld
-        = state.unreportedWorkers.mayHave(name) || !job.occurrences.at(name.occurrence).isReleased;
+        = state.unreportedWorkers.mayHave(name, possibleIncarnationOf(specOf(job, name)))
+        || !job.occurrences.at(name.occurrence).isReleased;
     if (job.isRecovered && isHeld) {
         task.phase = task_phase::unlocated;
         return;
--- a/packages/scheduler/worker_incarnation.cpp
+++ b/packages/scheduler/worker_incarnation.cpp
@@ -57,12 +57,35 @@
         || worker.storedIncarnationStartUnixMs == worker.incarnationStartUnixMs;
 }
 
-bool mayOutliveLease(const scheduler_state &state, const bound_run &run)
+instant longestRunEnd(const scheduler_state &state, instant lastCommandAt)
+{
+    if (lastCommandAt == instant::max())
+        return lastCommandAt;
+    const std::chrono::duration<double> lease = state.settings.longestLease;
+    return lastCommandAt + std::chrono::ceil<duration>(lease / (1 - maxClockSlowness));
+}
+
+std::optional<instant> unansweredRunEnd(const scheduler_state &state, const bound_run &run)
 {
+    if (run.isConfirmed || run.step->isContinuous)
+        return std::nullopt;
     const bool isAnswered = run.task->phase == task_phase::running;
     const duration longestDelay = isAnswered ? longestAnswer : lateCommandLimit;
-    return !run.isConfirmed && !run.step->isContinuous
-        && state.now <= run.task->runSince + longestDelay + state.settings.longestLease;
+    return longestRunEnd(state, run.task->runSince + longestDelay);
+}
+
+bool mayOutliveLease(const scheduler_state &state, const bound_run &run)
+{
+    const auto end = unansweredRunEnd(state, run);
+    return end && state.now <= *end;
+}
+
+std::optional<instant> unansweredRunsEnd(const scheduler_state &state, const worker_record &worker)
+{
+    std::optional<instant> latest = worker.unansweredUntil;
+    for (const auto &[name, run] : worker.runs)
+        latest = std::max(latest, unansweredRunEnd(state, run));
+    return latest && state.now <= *latest ? latest : std::nullopt;
 }
 
 void restartWorker(scheduler_state &state, worker_record &worker,
@@ -98,7 +121,8 @@
     worker.completions = completion_cursor();
     worker.lease = worker_lease();
     worker.clockCeiling = clock_ceiling();
-    worker.lease.limitMisdirectedLapse(lastCommandAt + state.settings.longestLease);
+    worker.lease.limitMisdirectedLapse(longestRunEnd(state, lastCommandAt));
+    worker.unansweredUntil.reset();
     state.isWorkerListDirty = true; // A later owner has to know of that lease.
     worker.lastLeaseEpoch = state.epoch;
     worker.ackedCompletions = 0;
--- a/packages/scheduler/worker_incarnation.h
+++ b/packages/scheduler/worker_incarnation.h
@@ -6,6 +6,8 @@
 
 #include "scheduler_state.h"
 
+#include <optional>
+
 namespace crocuswind::scheduler {
 
 /// Returns true if an answer that arrives now and has this reading of the worker's clock certainly
@@ -27,11 +29,23 @@
 /// store.
 bool isIncarnationStored(const worker_record &worker);
 
-/// Returns true if the run, whose start no answer has shown to be of the known incarnation, may go
-/// on in a later one after the known incarnation's lease has lapsed. Never true of a continuous
-/// run: it is needed elsewhere before that could be ruled out, and a crash for good looks the same.
+/// Returns until when a run may last that commands of an owner which were carried out until
+/// \p lastCommandAt have begun or prolonged, whatever incarnation carried them out.
+instant longestRunEnd(const scheduler_state &state, instant lastCommandAt);
+
+/// Returns until when the run, whose start no answer has shown to be of the known incarnation, may
+/// last on a later one, or nothing if it can't outlive the known one. Nothing for a continuous run:
+/// it is needed elsewhere before that could be ruled out, and a crash for good looks the same.
+std::optional<instant> unansweredRunEnd(const scheduler_state &state, const bound_run &run);
+
+/// Returns true if the run may go on in a later incarnation after the known incarnation's lease has
+/// lapsed.
 bool mayOutliveLease(const scheduler_state &state, const bound_run &run);
 
+/// Returns until when finite runs may last on an incarnation of the worker that has answered no
+/// owner, or nothing if there can be none by now.
+std::optional<instant> unansweredRunsEnd(const scheduler_state &state, const worker_record &worker);
+
 /// Handles a restart of the worker: gives up the runs of the former incarnation, resets clock,
 /// completions and lease, and fences off the commands sent so far. The answer to a later poll shows
 /// which other runs exist. \p incarnationStartUnixMs is 0 if only a clock reading shows the
--- a/packages/scheduler/worker_list.cpp
+++ b/packages/scheduler/worker_list.cpp
@@ -15,6 +15,9 @@
 /// Begins the line of a misdirected lease.
 constexpr std::string_view misdirectedPrefix = " restarted/";
 
+/// Begins the line of unanswered runs.
+constexpr std::string_view unansweredPrefix = " unanswered/";
+
 /// Begins the line of the incarnations.
 constexpr std::string_view incarnationsPrefix = " lives/";
 
@@ -110,29 +113,41 @@
     return witness;
 }
 
-// Parses a line that begins with misdirectedPrefix. A lease whose time can't be read counts as the
-// longest one.
-std::optional<misdirected_lease> parseMisdirected(std::string_view line)
+// Parses a line `PREFIXmilliseconds/id` into an entry with a worker and the time that it has left.
+// A time that can't be read counts as the longest one.
+template <class entry>
+std::optional<entry> parseTimeLeft(std::string_view line, std::string_view prefix)
 {
-    misdirected_lease lease;
-    const char *const begin = line.data() + misdirectedPrefix.size();
+    entry parsed;
+    const char *const begin = line.data() + prefix.size();
     const char *const end = line.data() + line.size();
     const char *const slash = std::find(begin, end, '/');
     if (slash == end || slash + 1 == end)
         return std::nullopt;
-    lease.worker.value.assign(slash + 1, end);
-    const auto [rest, error] = std::from_chars(begin, slash, lease.timeLeftMs);
-    const bool isRead = error == std::errc() && rest == slash && lease.timeLeftMs >= 0;
-    lease.timeLeftMs = isRead ? std::min(lease.timeLeftMs, maxTimeLeftMs) : maxTimeLeftMs;
-    return lease;
+    parsed.worker.value.assign(slash + 1, end);
+    const auto [rest, error] = std::from_chars(begin, slash, parsed.timeLeftMs);
+    const bool isRead = error == std::errc() && rest == slash && parsed.timeLeftMs >= 0;
+    parsed.timeLeftMs = isRead ? std::min(parsed.timeLeftMs, maxTimeLeftMs) : maxTimeLeftMs;
+    return parsed;
+}
+
+// Appends a line that parseTimeLeft() parses for each of the entries.
+template <class entry>
+void appendTimesLeft(const std::vector<entry> &entries, std::string_view prefix, std::string &text)
+{
+    for (const entry &e : entries)
+        text.append(prefix) += std::to_string(e.timeLeftMs) + '/' + e.worker.value + '\n';
 }
 
 // Parses a line that begins with a space.
 void parseDetail(std::string_view line, worker_list &list)
 {
     if (startsWith(line, misdirectedPrefix)) {
-        if (auto lease = parseMisdirected(line))
+        if (auto lease = parseTimeLeft<misdirected_lease>(line, misdirectedPrefix))
             list.misdirected.push_back(std::move(*lease));
+    } else if (startsWith(line, unansweredPrefix)) {
+        if (auto runs = parseTimeLeft<unanswered_runs>(line, unansweredPrefix))
+            list.unanswered.push_back(std::move(*runs));
     } else if (auto witness = parseWitness(line)) {
         list.witnesses.push_back(std::move(*witness));
     } else {
@@ -145,9 +160,8 @@
 std::string toText(const worker_list &list)
 {
     std::string text = incarnationsToText(list.workers);
-    for (const misdirected_lease &lease : list.misdirected)
-        text.append(misdirectedPrefix)
-            += std::to_string(lease.timeLeftMs) + '/' + lease.worker.value + '\n';
+    appendTimesLeft(list.misdirected, misdirectedPrefix, text);
+    appendTimesLeft(list.unanswered, unansweredPrefix, text);
     for (const clock_witness &witness : list.witnesses)
         text += ' ' + std::to_string(witness.incarnationStartUnixMs) + '/'
             + std::to_string(witness.clockMs) + '/' + witness.worker.value + '\n';
--- a/packages/scheduler/worker_list.h
+++ b/packages/scheduler/worker_list.h
@@ -60,6 +60,19 @@
     }
 };
 
+/// Finite runs that may last on an incarnation of a silent worker that has answered no owner. They
+/// come from starts that were meant for the incarnation before.
+struct unanswered_runs
+{
+    worker_id worker;
+    std::int64_t timeLeftMs = 0; ///< Until they have ended, as in silent_lease.
+
+    friend bool operator==(const unanswered_runs &a, const unanswered_runs &b)
+    {
+        return a.worker == b.worker && a.timeLeftMs == b.timeLeftMs;
+    }
+};
+
 /// The highest reading that a worker's clock can have had when a list was written. A reader that
 /// learns of a later reading knows for how long the list has existed at least.
 struct clock_witness
@@ -83,27 +96,29 @@
     std::optional<owner_moment> writtenAt; ///< Absent in lists of earlier builds.
     std::vector<clock_witness> witnesses; ///< Of when it was written; none without leases.
     std::vector<misdirected_lease> misdirected; ///< None in lists of earlier builds.
+    std::vector<unanswered_runs> unanswered; ///< None in lists of earlier builds.
 
     friend bool operator==(const worker_list &a, const worker_list &b)
     {
         return a.workers == b.workers && a.silent == b.silent && a.writtenAt == b.writtenAt
-            && a.witnesses == b.witnesses && a.misdirected == b.misdirected;
+            && a.witnesses == b.witnesses && a.misdirected == b.misdirected
+            && a.unanswered == b.unanswered;
     }
 };
 
 /// Formats the incarnations as a line ` lives/milliseconds,milliseconds,...` in the order of the
-/// workers, the misdirected leases as lines ` restarted/milliseconds/id`, the witnesses as lines
-/// ` incarnation/milliseconds/id`, when the list was written as a line ` epoch/milliseconds`, and
-/// one worker a line, `id address`. Earlier builds skip the lines
-/// that begin with a space, and take the last of them for the time of writing. The silent leases
-/// follow the last line end, each as `id epoch milliseconds `: builds still earlier ignore that
-/// part.
+/// workers, the misdirected leases as lines ` restarted/milliseconds/id`, the unanswered runs as
+/// lines ` unanswered/milliseconds/id`, the witnesses as lines ` incarnation/milliseconds/id`, when
+/// the list was written as a line ` epoch/milliseconds`, and one worker a line, `id address`.
+/// Earlier builds skip the lines that begin with a space, and take the last of them for the time of
+/// writing. The silent leases follow the last line end, each as `id epoch milliseconds `: builds
+/// still earlier ignore that part.
 std::string toText(const worker_list &list);
 
 /// Parses the output of toText(). Lines without a worker are skipped. If the part on silent leases
 /// is malformed it counts as empty, so that the longest possible leases are assumed; a malformed
-/// time or witness counts as absent, a misdirected lease whose time is malformed as one of an hour,
-/// and incarnations that are malformed or not one for each worker as unknown.
+/// time or witness counts as absent, a misdirected lease or unanswered runs whose time is malformed
+/// as ones of an hour, and incarnations that are malformed or not one for each worker as unknown.
 worker_list parseWorkerList(std::string_view text);
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -300,6 +300,9 @@
     clock_ceiling clockCeiling;
     /// The last epoch that may have granted the worker a lease, apart from what `lease` knows.
     std::int64_t lastLeaseEpoch = 0;
+    /// Until when runs that an earlier owner started may last on an incarnation that has answered
+    /// no owner. Nothing once the worker has reported, or if there can be none.
+    std::optional<instant> unansweredUntil;
     /// The stored list of workers may name the worker as silent. It gets no lease and no task,
     /// because a later owner would not know of them.
     bool isStoredAsSilent = false;
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -184,8 +184,9 @@
     const bool isFenced = command.number > worker.lastPollBeforeFence;
     if (!worker.hasReported && isFenced) {
         logFirstReport(state, worker);
+        worker.unansweredUntil.reset();
         if (worker.lease.misdirectedUntil())
-            worker.lease.limitMisdirectedLapse(state.now + state.settings.longestLease);
+            worker.lease.limitMisdirectedLapse(longestRunEnd(state, state.now));
         worker.hasReported = true;
         worker.firstReportAt = state.now;
         state.isDispatchWanted = true;
@@ -246,11 +247,17 @@
     return "unknown";
 }
 
+// Returns true if a run that an earlier owner started may exist on an incarnation of the worker
+// that has answered no owner. The tasks on a worker that was leaving are known, and their runs too.
+bool mayHaveUnansweredRuns(const scheduler_state &state, const worker_record &worker)
+{
+    return worker.unansweredUntil && state.inputHandledUntil <= *worker.unansweredUntil
+        && state.unreportedWorkers.tasksOn(worker.info.id) == nullptr;
+}
+
 // Logs that tasks which an earlier owner may have started on the worker may start elsewhere.
 void logGivenUp(const scheduler_state &state, const worker_record &worker)
 {
-    if (!state.unreportedWorkers.contains(worker.info.id))
-        return;
     const auto since
         = std::chrono::duration_cast<std::chrono::milliseconds>(state.now - state.tookOverAt);
     state.ports.log("former_worker_given_up",
@@ -261,6 +268,30 @@
                                 worker.isStoredAsSilent, worker.failedPolls, since.count()));
 }
 
+// Gives up the runs that earlier owners started on a worker whose lease has lapsed, apart from
+// those that may be on an incarnation without an answer. Returns true if unlocated tasks may be
+// free.
+bool giveUpInheritedRuns(scheduler_state &state, worker_record &worker)
+{
+    if (!state.unreportedWorkers.contains(worker.info.id))
+        return false;
+    if (!mayHaveUnansweredRuns(state, worker)) {
+        logGivenUp(state, worker);
+        return noteReported(state, worker.info.id);
+    }
+    if (!state.unreportedWorkers.excludeKnownIncarnation(worker.info.id))
+        return false;
+    const auto timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
+        *worker.unansweredUntil - state.now);
+    state.ports.log("known_incarnation_given_up",
+                    fmt::format("worker={} born={} bound={} last_lease_epoch={} "
+                                "unanswered_left_ms={}",
+                                worker.info.id.value, worker.incarnationStartUnixMs,
+                                toWord(worker.lease.latestSource()), worker.lastLeaseEpoch,
+                                timeLeft.count()));
+    return !state.unreportedWorkers.mayHaveAny(possible_incarnation::known);
+}
+
 void notePollFailure(scheduler_state &state, worker_record &worker, command_outcome outcome)
 {
     if (worker.failedPolls++ == 0)
@@ -292,11 +323,10 @@
         // runs.
         if (worker.lease.hasLapsed(state.inputHandledUntil) && state.now < state.exclusiveUntil
             && worker.failedPolls >= neededFailures) {
-            logGivenUp(state, worker);
             handleLostRuns(state, worker, "lease_lapsed",
                            [&](const bound_run &run) { return !mayOutliveLease(state, run); });
             worker.hasReported = false;
-            isReleaseDue = noteReported(state, id) || isReleaseDue;
+            isReleaseDue = giveUpInheritedRuns(state, worker) || isReleaseDue;
         }
     }
     if (isReleaseDue)
