Let steps whose predecessors still run start without that wait

Cause: a new owner held all tasks that it had not located, also those of steps that nobody can have started because a task before them still runs. Change: a run that a worker reports as running excludes that later steps were started; they wait for it alone. Result: DelaysNoStepWhosePredecessorStillRuns fails without the change (the second step is not started when the first has ended, 3 s after the loss) and passes; the other cases of scheduler_unanswered_incarnation_test pass.

--- a/packages/scheduler/occurrences.cpp
+++ b/packages/scheduler/occurrences.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
 
 namespace crocuswind::scheduler {
 
@@ -195,6 +196,26 @@
     return job->find(name);
 }
 
+void excludeStartsAfter(job_record &job, const task_name &running)
+{
+    const auto &steps = job.spec.steps;
+    if (steps[std::size_t(running.step)].allowsDuplicates)
+        return;
+    std::set<int> undone = {running.step};
+    for (int step = running.step + 1; step < int(steps.size()); ++step) {
+        const auto &after = steps[std::size_t(step)].after;
+        const bool isAfter = std::any_of(after.begin(), after.end(),
+                                         [&](int earlier) { return undone.count(earlier) != 0; });
+        if (!isAfter)
+            continue;
+        undone.insert(step);
+        for (task_state &task : job.occurrences.at(running.occurrence).steps[std::size_t(step)]) {
+            if (task.phase == task_phase::unlocated)
+                task.phase = task_phase::blocked;
+        }
+    }
+}
+
 void releaseUnlocatedTasks(scheduler_state &state)
 {
     std::int64_t released = 0;
--- a/packages/scheduler/occurrences.h
+++ b/packages/scheduler/occurrences.h
@@ -32,6 +32,10 @@
 /// are missing.
 task_state *findReportedTask(scheduler_state &state, const task_name &name);
 
+/// Excludes that an earlier owner has started the steps after that of a task which still runs: they
+/// need not wait for workers that have not reported. Copies of the task would prove nothing.
+void excludeStartsAfter(job_record &job, const task_name &running);
+
 /// Releases the `unlocated` tasks that no unreported worker can be running, so that they may start.
 void releaseUnlocatedTasks(scheduler_state &state);
 
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -35,6 +35,7 @@
     task.runSince = state.now;
     job_record &job = *state.findJob(row.task.job);
     noteRunBegan(state, job, row.task);
+    excludeStartsAfter(job, row.task);
     state.logDetail("run_adopted", [&] {
         return fmt::format("job={} task={} run={} worker={}", job.spec.name.value,
                            toString(row.task), row.run, worker.info.id.value);
--- a/test/failure/scheduler_unanswered_incarnation_test.cpp
+++ b/test/failure/scheduler_unanswered_incarnation_test.cpp
@@ -244,6 +244,28 @@
     EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 1);
 }
 
+// The first step still runs on a worker that answers, so that nobody can have started the second.
+TEST_F(unanswered_incarnation, DelaysNoStepWhosePredecessorStillRuns)
+{
+    world.runTime = [](const task_name &) { return 6s; };
+    job_spec spec = plainJob("a", 1);
+    spec.steps.push_back(spec.steps[0]);
+    spec.steps[1].after = {0};
+    owner.call(job_call_kind::submit, spec.name, &spec);
+    world.run(3s);
+    ASSERT_EQ(worker.runs.size(), 1U);
+    fake_worker &silent = world.addWorker("w1", "rack-1", {8000, 8000, 0});
+    owner.core.onWorker(world.now, silent.info);
+    world.run(1s);
+    silent.isUp = false;
+    owner.isDead = true;
+    world.run(electionTime);
+    world.takeOver(next);
+    world.run(3s - electionTime);
+    EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 1);
+    EXPECT_EQ((world.starts[{{"a"}, 0, 1, 0}]), 1);
+}
+
 // A continuous task is needed again before an incarnation without an answer could be ruled out.
 TEST_F(unanswered_incarnation, DelaysNoContinuousTask)
 {
