--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -1,15 +1,19 @@
 #include "job_host.h"
 
 #include "command_relay.h"
+#include "host_links.h"
+#include "job_handover.h"
+#include "job_metrics.h"
 #include "load_report.h"
-#include "prefix_mirror.h"
+#include "owner_watch.h"
+#include "records_reader.h"
 #include "relayed_worker_link.h"
 
 #include <ctime>
-#include <fmt/format.h>
 #include <map>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace crocuswind {
 
@@ -17,51 +21,6 @@
 
 namespace {
 
-constexpr duration pingInterval = 500ms;
-constexpr duration peerSilenceTimeout = 1600ms;
-constexpr duration recordsReadTimeout = 3s;
-constexpr duration handoverPollInterval = 10ms;
-/// An owner that hands over waits this long for its changes to become durable.
-constexpr duration handoverTimeout = 1500ms;
-/// Without another host that can succeed it, it begins this long before its deadline.
-constexpr duration lastHandoverTime = 500ms;
-
-// The store reports that the owner's key is unchanged after this time without a change.
-constexpr duration ownerWatchMaxSilence = 1500ms;
-
-// The first byte of a frame between entry hosts tells its kind.
-constexpr char callFrameTag = 'C';
-constexpr char replyFrameTag = 'R';
-constexpr char offerFrameTag = 'O'; ///< Offer to relay commands.
-constexpr char commandsFrameTag = 'W'; ///< Commands to relay.
-constexpr char resultsFrameTag = 'V'; ///< Results of relayed commands.
-
-/// All hosts keep a link to the owner.
-constexpr std::size_t maxAcceptedLinks = 2000;
-
-// Delay before a failed read of the former owner's records is repeated.
-constexpr duration recordsRetryInterval = 100ms;
-
-/// Encodes the hello frame between entry hosts, which carries the name of the sender.
-class name_hello final : public peer_hello_codec
-{
-public:
-    explicit name_hello(host_id self)
-        : m_self(std::move(self))
-    { }
-    std::string helloFrame() override { return "crocuswind " + m_self.value; }
-    std::optional<host_id> parseHello(std::string_view frame) override
-    {
-        constexpr std::string_view prefix = "crocuswind ";
-        if (frame.substr(0, prefix.size()) != prefix || frame.size() == prefix.size())
-            return std::nullopt;
-        return host_id{std::string(frame.substr(prefix.size()))};
-    }
-
-private:
-    host_id m_self;
-};
-
 std::int64_t unixNowMs()
 {
     timespec time = {};
@@ -80,25 +39,23 @@
         , metrics(m)
         , settings(std::move(hostSettings))
         , callbacks(std::move(c))
-        , hello(settings.host)
         , workers(l, random, w, settings.milliCores,
                   [this](const host_id &relayHost, const std::string &bytes) {
-                      return sendFrame(relayHost, commandsFrameTag, bytes);
+                      return links.sendCommands(relayHost, bytes);
                   })
         , relay(l, w,
                 [this](const host_id &owner, const std::string &bytes) {
-                    sendFrame(owner, resultsFrameTag, bytes);
+                    links.sendResults(owner, bytes);
                 })
         , core(settings.scheduler, *this)
         , election(electionSettings(settings), *this)
+        , handover(l, schedulerLog, core, election)
+        , records(l, s, settings.scheduler.keyPrefix)
         , loadReport(l, schedulerLog, m, core)
         , router(
               l, random,
               [this](const host_id &owner, const job_call &call) { return sendCall(owner, call); })
-        , links(l, linkSettings(settings), hello, random,
-                {[this](const host_id &peer) { onLinkUp(peer); },
-                 [this](const host_id &peer) { onLinkDown(peer); },
-                 [this](const host_id &peer, std::string_view frame) { onFrame(peer, frame); }})
+        , links(l, schedulerLog, settings.host, random, linkCallbacks())
     { }
 
     ~implementation() override
@@ -106,8 +63,6 @@
         *isAlive = false;
         loop.cancel(coreTimer);
         loop.cancel(electionTimer);
-        loop.cancel(handoverTimer);
-        loop.cancel(readTimer);
     }
 
     static election_settings electionSettings(const job_host_settings &settings)
@@ -119,16 +74,18 @@
         return election;
     }
 
-    static peer_links_settings linkSettings(const job_host_settings &settings)
+    host_links_callbacks linkCallbacks()
     {
-        peer_links_settings links;
-        links.self = settings.host;
-        links.pingInterval = pingInterval;
-        links.receiveTimeout = peerSilenceTimeout;
-        links.handshakeTimeout = 1s;
-        links.maxRetryDelay = 500ms;
-        links.maxAcceptedLinks = maxAcceptedLinks;
-        return links;
+        return {
+            [this](const host_id &peer) { onLinkUp(peer); },
+            [this](const host_id &peer) { onLinkDown(peer); },
+            [this](const host_id &peer, const job_call &call) { handleCall(peer, call); },
+            [this](const host_id &peer, const job_reply &reply) { router.onReply(peer, reply); },
+            [this](const host_id &peer, const relay_offer &offer) { handleOffer(peer, offer); },
+            [this](const host_id &peer, std::string_view bytes) {
+                return relay.onCommands(peer, bytes);
+            },
+            [this](std::string_view bytes) { return workers.onResults(bytes); }};
     }
 
     // Wraps a callback so that it does nothing after this object was destroyed.
@@ -200,7 +157,7 @@
         if (peer == settings.host)
             loop.post(guarded([this, forPeer] { router.onReply(settings.host, forPeer); }));
         else
-            links.send(peer, replyFrameTag + encodeReply(forPeer));
+            links.sendReply(peer, forPeer);
     }
 
     void log(const std::string &event, const std::string &fields) override
@@ -234,7 +191,7 @@
 
     void onDeposed() override
     {
-        loop.cancel(readTimer);
+        records.cancelRetry();
         const bool wasOwner = core.isOwner();
         core.giveUp(loop.now());
         workers.reset();
@@ -261,11 +218,6 @@
 
     // Links to other entry hosts.
 
-    bool sendFrame(const host_id &peer, char tag, const std::string &bytes)
-    {
-        return links.send(peer, tag + bytes) == peer_send_result::queued;
-    }
-
     void onLinkUp(const host_id &peer)
     {
         router.onHostReachable(peer);
@@ -277,7 +229,7 @@
     {
         router.onHostUnreachable(peer);
         relay.onOwnerLost(peer);
-        availablePeers.erase(peer);
+        handover.removeCandidate(peer);
         const std::size_t relaysBefore = workers.relayCount();
         workers.onHostLost(peer);
         if (workers.relayCount() != relaysBefore)
@@ -290,8 +242,7 @@
     void sendOffer()
     {
         if (!knownOwner.empty() && knownOwner != settings.host)
-            sendFrame(knownOwner, offerFrameTag,
-                      encodeOffer({!isDraining, settings.dataCentre, settings.milliCores}));
+            links.sendOffer(knownOwner, {!isDraining, settings.dataCentre, settings.milliCores});
     }
 
     void onCommitted() override
@@ -323,26 +274,18 @@
 
     void readRecords(std::int64_t epoch)
     {
-        platformStore.submit(
-            store_range{settings.scheduler.keyPrefix, true}, loop.now() + recordsReadTimeout,
-            guarded([this, epoch](const store_result &result) { onRecords(epoch, result); }));
+        records.read(
+            [this, epoch] {
+                return election.isOwner() && election.epoch() == epoch && !core.isOwner();
+            },
+            [this, epoch](const std::vector<stored_record> &read) { takeOver(epoch, read); });
     }
 
-    void onRecords(std::int64_t epoch, const store_result &result)
+    void takeOver(std::int64_t epoch, const std::vector<stored_record> &read)
     {
-        if (!election.isOwner() || election.epoch() != epoch || core.isOwner())
-            return;
-        if (!result) {
-            readTimer = loop.callAt(loop.now() + recordsRetryInterval,
-                                    [this, epoch] { readRecords(epoch); });
-            return;
-        }
-        std::vector<stored_record> records;
-        for (const store_entry &entry : result->entries)
-            records.push_back({entry.key, entry.value});
         workers.reset();
         core.setAuthority(loop.now(), authorityUntil, exclusiveUntil);
-        core.takeOver(loop.now(), unixNowMs(), epoch, records, election.earlierAuthority());
+        core.takeOver(loop.now(), unixNowMs(), epoch, read, election.earlierAuthority());
         callbacks.ownershipChanged(true);
         router.onHostReachable(settings.host);
         scheduleCore();
@@ -354,7 +297,7 @@
     bool sendCall(const host_id &owner, const job_call &call)
     {
         if (owner != settings.host)
-            return links.send(owner, callFrameTag + encodeCall(call)) == peer_send_result::queued;
+            return links.sendCall(owner, call);
         if (!core.isOwner())
             return false;
         handleCall(settings.host, call);
@@ -370,55 +313,19 @@
         scheduleCore();
     }
 
-    void onFrame(const host_id &peer, std::string_view frame)
-    {
-        if (!frame.empty() && !handleFrame(peer, frame.front(), frame.substr(1)))
-            schedulerLog.warning("event=bad_frame peer={} bytes={}", peer.value, frame.size());
-    }
-
-    // Returns false if the frame is malformed.
-    bool handleFrame(const host_id &peer, char tag, std::string_view bytes)
-    {
-        switch (tag) {
-        case callFrameTag:
-            return handleDecoded(decodeCall(bytes),
-                                 [&](const job_call &call) { handleCall(peer, call); });
-        case replyFrameTag:
-            return handleDecoded(decodeReply(bytes),
-                                 [&](const job_reply &reply) { router.onReply(peer, reply); });
-        case offerFrameTag:
-            return handleDecoded(decodeOffer(bytes),
-                                 [&](const relay_offer &offer) { handleOffer(peer, offer); });
-        case commandsFrameTag:
-            return relay.onCommands(peer, bytes);
-        case resultsFrameTag:
-            return workers.onResults(bytes);
-        default:
-            return false;
-        }
-    }
-
     void handleOffer(const host_id &peer, const relay_offer &offer)
     {
         workers.onOffer(peer, offer);
         if (offer.isAvailable)
-            availablePeers.insert(peer);
+            handover.addCandidate(peer);
         else
-            availablePeers.erase(peer);
+            handover.removeCandidate(peer);
         schedulerLog.info("event=relay_offered host={} available={} data_centre={} millicores={} "
                           "relays={}",
                           peer.value, offer.isAvailable, offer.dataCentre.value, offer.milliCores,
                           workers.relayCount());
     }
 
-    template <class value, class function>
-    static bool handleDecoded(const std::optional<value> &decoded, function handle)
-    {
-        if (decoded)
-            handle(*decoded);
-        return decoded.has_value();
-    }
-
     // Timers.
 
     void scheduleCore()
@@ -444,73 +351,33 @@
         });
     }
 
-    // An owner that is stopping serves on until another host can succeed it, as long as its process
-    // lasts: hosts that are stopping too are no candidates.
-    bool canHandOver()
-    {
-        if (isHandingOver)
-            return true;
-        const bool isOverdue = loop.now() >= handoverDeadline - lastHandoverTime;
-        if (availablePeers.empty() && !isOverdue) {
-            if (!std::exchange(isHandoverDeferred, true))
-                schedulerLog.info("event=handover_deferred epoch={} reason=no_candidate",
-                                  election.epoch());
-            return false;
-        }
-        isHandingOver = true;
-        handoverDeadline = std::min(handoverDeadline, loop.now() + handoverTimeout);
-        schedulerLog.info("event=handover epoch={} candidates={}", election.epoch(),
-                          availablePeers.size());
-        return true;
-    }
-
-    void pollHandover()
-    {
-        if (!election.isOwner())
-            return;
-        const bool isDone
-            = canHandOver() && (core.prepareHandover(loop.now()) || loop.now() >= handoverDeadline);
-        if (isDone) {
-            election.resign(loop.now());
-            return;
-        }
-        handoverTimer = loop.callAt(loop.now() + handoverPollInterval, [this] { pollHandover(); });
-    }
-
     event_loop &loop;
     store &platformStore;
     metrics_registry &metrics;
     job_host_settings settings;
     job_host_callbacks callbacks;
     logger schedulerLog{"scheduler"};
-    name_hello hello;
     relayed_worker_link workers;
     command_relay relay;
     scheduler_core core;
     owner_election election;
+    job_handover handover;
+    records_reader records;
     load_report loadReport;
     job_router router;
-    peer_links links;
-    std::unique_ptr<prefix_mirror> ownerMirror;
+    host_links links;
+    std::unique_ptr<owner_watch> ownerWatch;
     /// The hosts and their tokens of calls that the core is to answer, by the token that the core
     /// was given. Tokens of the core stay within this process.
     std::map<call_token, std::pair<host_id, call_token>> callOrigins;
     call_token lastToken = 0;
     instant authorityUntil;
     instant exclusiveUntil;
-    instant handoverDeadline;
-    bool isHandingOver = false; ///< The core accepts no calls any more; tasks still start.
-    bool isHandoverDeferred = false;
-    /// Hosts with a link to this one that are not stopping, so that one of them can become the
-    /// owner.
-    std::set<host_id> availablePeers;
     bool wasCoreOwner = false;
     bool isDraining = false;
     host_id knownOwner; ///< Empty if no host owns the jobs.
     timer_id coreTimer = 0;
     timer_id electionTimer = 0;
-    timer_id handoverTimer = 0;
-    timer_id readTimer = 0;
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
 
@@ -529,34 +396,15 @@
     const auto listening = i.links.listen(i.settings.peerListen);
     if (!listening)
         return tl::unexpected(listening.error());
-    const std::string key = ownerKey(i.settings.scheduler.keyPrefix);
-    const std::string confirmed = confirmationKey(i.settings.scheduler.keyPrefix);
-    const auto reportOwnerKey = [this, key](std::int64_t revision) {
-        implementation &self = *m_implementation;
-        const auto &values = self.ownerMirror->values();
-        const auto found = values.find(key);
-        const auto value
-            = found == values.end() ? std::nullopt : std::optional<std::string>(found->second);
-        self.election.onOwnerKey(self.loop.now(), value, revision);
-        self.scheduleElection();
-    };
-    i.ownerMirror = std::make_unique<prefix_mirror>(
-        i.loop, i.platformStore, key, ownerWatchMaxSilence,
-        prefix_mirror_callbacks{
-            [this, reportOwnerKey, confirmed](const std::string &changedKey,
-                                              const std::optional<std::string> &value,
-                                              std::int64_t revision) {
-                if (changedKey == confirmed && value)
-                    m_implementation->election.onConfirmationKey(m_implementation->loop.now(),
-                                                                 *value);
-                else if (m_implementation->ownerMirror)
-                    reportOwnerKey(revision);
+    i.ownerWatch = std::make_unique<owner_watch>(
+        i.loop, i.platformStore, i.settings.scheduler.keyPrefix,
+        owner_watch_callbacks{
+            [&i](const std::optional<std::string> &value, std::int64_t revision) {
+                i.election.onOwnerKey(i.loop.now(), value, revision);
+                i.scheduleElection();
             },
-            reportOwnerKey,
-            {},
-            [this] {
-                m_implementation->election.onOwnerKeyUnknown(m_implementation->loop.now());
-            }});
+            [&i](const std::string &value) { i.election.onConfirmationKey(i.loop.now(), value); },
+            [&i] { i.election.onOwnerKeyUnknown(i.loop.now()); }});
     i.election.setEligible(i.loop.now(), true);
     i.scheduleElection();
     return {};
@@ -603,11 +451,10 @@
 void job_host::handOver(instant deadline)
 {
     implementation &i = *m_implementation;
-    i.handoverDeadline = deadline;
     i.isDraining = true;
     i.sendOffer();
     i.election.setEligible(i.loop.now(), false);
-    i.pollHandover();
+    i.handover.begin(deadline);
 }
 
 void job_host::stop()
@@ -633,35 +480,7 @@
 void job_host::updateMetrics()
 {
     implementation &i = *m_implementation;
-    const scheduler_counters &c = i.core.counters();
-    const std::pair<const char *, std::int64_t> totals[] = {
-        {"crocuswind_jobs_accepted_total", c.accepted},
-        {"crocuswind_jobs_refused_total", c.refused},
-        {"crocuswind_starts_total", c.starts},
-        {"crocuswind_starts_unanswered_total", c.startsUnanswered},
-        {"crocuswind_starts_rejected_total", c.startsRejected},
-        {"crocuswind_stops_total", c.stops},
-        {"crocuswind_worker_polls_total", c.polls},
-        {"crocuswind_pace_orders_total", c.paces},
-        {"crocuswind_commits_total", c.commits},
-        {"crocuswind_tasks_done_total", c.completionsDone},
-        {"crocuswind_tasks_failed_total", c.completionsFailed},
-        {"crocuswind_runs_lost_total", c.runsLost},
-        {"crocuswind_calls_total", i.router.counters().calls},
-        {"crocuswind_calls_repeated_total", i.router.counters().resends},
-        {"crocuswind_calls_unanswered_total", i.router.counters().unanswered},
-        {"crocuswind_replies_foreign_total", i.router.counters().foreignReplies},
-    };
-    for (const auto &[name, total] : totals)
-        i.metrics.setTotal(name, {}, double(total));
-    i.metrics.setTotal("crocuswind_commands_relayed_total", {},
-                       double(i.workers.relayedCommands()));
-    i.metrics.setTotal("crocuswind_results_foreign_total", {}, double(i.workers.foreignResults()));
-    i.metrics.set("crocuswind_relays", {}, double(i.workers.relayCount()));
-    i.metrics.set("crocuswind_owner", {}, i.core.isOwner() ? 1 : 0);
-    i.metrics.set("crocuswind_jobs_known", {}, double(c.jobsKnown));
-    i.metrics.set("crocuswind_tasks_waiting", {}, double(c.tasksWaiting));
-    i.metrics.set("crocuswind_evacuated_data_centres", {}, double(c.evacuatedDataCentres));
+    setJobMetrics(i.metrics, i.core, i.router, i.workers);
 }
 
 } // namespace crocuswind
