Keep later steps waiting unless the task before them is in its first run

Cause (found by a reviewer): 'nobody can have started the steps after a task that still runs' is false if an earlier run of the task had been given up and ended done. Its owner starts the next step and stops the second run; a successor that adopts that second run started the next step again (TWICE). Change: only a task in run 1 excludes starts of later steps.

--- a/packages/scheduler/occurrences.h
+++ b/packages/scheduler/occurrences.h
@@ -32,8 +32,9 @@
 /// are missing.
 task_state *findReportedTask(scheduler_state &state, const task_name &name);
 
-/// Excludes that an earlier owner has started the steps after that of a task which still runs: they
-/// need not wait for workers that have not reported. Copies of the task would prove nothing.
+/// Marks the `unlocated` tasks of all steps after that of \p running as blocked, so that they wait
+/// for no worker that has not reported: no owner can have started them while the task had no run
+/// that has ended. \p running must be in its first run. Does nothing if the task may have copies.
 void excludeStartsAfter(job_record &job, const task_name &running);
 
 /// Releases the `unlocated` tasks that no unreported worker can be running, so that they may start.
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -35,7 +35,10 @@
     task.runSince = state.now;
     job_record &job = *state.findJob(row.task.job);
     noteRunBegan(state, job, row.task);
-    excludeStartsAfter(job, row.task);
+    // An earlier run may have succeeded, although its owner had given it up.
+    const bool isFirstRun = row.run == 1;
+    if (isFirstRun)
+        excludeStartsAfter(job, row.task);
     state.logDetail("run_adopted", [&] {
         return fmt::format("job={} task={} run={} worker={}", job.spec.name.value,
                            toString(row.task), row.run, worker.info.id.value);
--- a/test/failure/scheduler_unanswered_incarnation_test.cpp
+++ b/test/failure/scheduler_unanswered_incarnation_test.cpp
@@ -283,6 +283,185 @@
     EXPECT_EQ((world.starts[{{"c"}, 0, 0, 0}]), 2);
 }
 
+// A held start is carried out seconds later, when no former owner has authority any more.
+TEST_F(unanswered_incarnation, AStartThatItCarriesOutLateIsAwaitedByTheNextOwner)
+{
+    worker.isUp = false;
+    const job_spec spec = plainJob("a", 1);
+    owner.call(job_call_kind::submit, spec.name, &spec);
+    world.run(400ms);
+    owner.isDead = true;
+    next.unreachableWorkers.insert(worker.info.id);
+    worker.reachesStore = false;
+    world.addWorker("w1", "rack-1", {8000, 8000, 0});
+    world.at(world.now + 8s, [this] { world.restartWorker(worker); });
+    world.run(electionTime);
+    world.takeOver(next);
+    world.run(40s);
+    EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 2);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// A second run of the first step goes on after the first one has ended: the second step may run.
+TEST_F(unanswered_incarnation, AStepMayRunWhoseGivenUpPredecessorWasDone)
+{
+    world.runTime = [this](const task_name &task) {
+        return task.step == 0 && world.starts[task] <= 1 ? duration(3s) : duration(1000s);
+    };
+    job_spec spec = plainJob("a", 1);
+    spec.steps.push_back(spec.steps[0]);
+    spec.steps[1].after = {0};
+    owner.call(job_call_kind::submit, spec.name, &spec);
+    world.run(1s);
+    ASSERT_EQ(worker.runs.size(), 1U);
+    fake_worker &second = world.addWorker("w1", "rack-1", {8000, 8000, 0});
+    owner.core.onWorker(world.now, second.info);
+    world.run(1s);
+    owner.unreachableWorkers.insert(worker.info.id);
+    world.run(10s);
+    ASSERT_EQ(second.runs.size(), 1U); // The second run of the first step.
+    fake_worker &third = world.addWorker("w2", "rack-1", {1000, 8000, 0});
+    owner.core.onWorker(world.now, third.info);
+    world.run(2s);
+    world.storeDelay = 3s; // The end of the first run is not durable in time.
+    owner.unreachableWorkers = {second.info.id};
+    for (int i = 0; i < 200 && worker.runs.empty() && third.runs.empty(); ++i)
+        world.run(10ms);
+    fake_worker &runner = worker.runs.empty() ? third : worker;
+    ASSERT_EQ(runner.runs.size(), 1U);
+    owner.isDead = true;
+    world.storeDelay = 0ms;
+    next.unreachableWorkers = {worker.info.id, third.info.id};
+    world.run(electionTime);
+    world.takeOver(next);
+    world.run(300ms);
+    next.unreachableWorkers.clear();
+    next.unreachableWorkers.insert(runner.info.id);
+    world.run(1500ms);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// An entry of service discovery names a later life, which has answered nobody.
+TEST_F(unanswered_incarnation, AnEntryOfItsNextLifeEndsNoWait)
+{
+    const job_spec spec = plainJob("a", 1);
+    worker.isUp = false;
+    owner.call(job_call_kind::submit, spec.name, &spec);
+    world.run(3300ms);
+    ASSERT_NE(std::count(owner.events.begin(), owner.events.end(), "silent_workers_stored"), 0);
+    const auto held = std::exchange(worker.heldCommands, {});
+    owner.unreachableWorkers.insert(worker.info.id);
+    next.unreachableWorkers.insert(worker.info.id);
+    owner.isDead = true;
+    world.restartWorker(worker);
+    world.at(world.now + 8s, [this, held] { // Carried out about 11 s after they were sent.
+        for (const auto &execute : held)
+            execute();
+    });
+    world.run(electionTime);
+    world.addWorker("w1", "rack-1", {8000, 8000, 0});
+    world.takeOver(next);
+    world.run(40s);
+    EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 2);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// The same late start where the entry does not reach the next owner (control).
+TEST_F(unanswered_incarnation, ControlWithoutEntry)
+{
+    const job_spec spec = plainJob("a", 1);
+    worker.isUp = false;
+    owner.call(job_call_kind::submit, spec.name, &spec);
+    world.run(3300ms);
+    const auto held = std::exchange(worker.heldCommands, {});
+    owner.unreachableWorkers.insert(worker.info.id);
+    next.unreachableWorkers.insert(worker.info.id);
+    worker.reachesStore = false;
+    owner.isDead = true;
+    world.restartWorker(worker);
+    world.at(world.now + 8s, [this, held] {
+        for (const auto &execute : held)
+            execute();
+    });
+    world.run(electionTime);
+    world.addWorker("w1", "rack-1", {8000, 8000, 0});
+    world.takeOver(next);
+    world.run(40s);
+    EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 2);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// The list is of an earlier build, which names silent workers but no unanswered runs.
+TEST_F(unanswered_incarnation, AStartThatAnEarlierBuildStoredIsAwaited)
+{
+    const job_spec spec = plainJob("a", 1);
+    worker.isUp = false;
+    owner.call(job_call_kind::submit, spec.name, &spec);
+    world.run(900ms);
+    world.restartWorker(worker);
+    ASSERT_EQ(worker.runs.size(), 1U);
+    worker.reachesStore = false;
+    owner.unreachableWorkers.insert(worker.info.id);
+    next.unreachableWorkers.insert(worker.info.id);
+    world.run(2500ms);
+    owner.isDead = true;
+    for (auto &[key, text] : world.store) {
+        const auto begin = text.find(" unanswered/");
+        if (begin != std::string::npos)
+            text.erase(begin, text.find('\n', begin) + 1 - begin);
+    }
+    world.run(electionTime);
+    world.addWorker("w1", "rack-1", {8000, 8000, 0});
+    world.takeOver(next);
+    world.run(40s);
+    EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 2);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
+// Malformed time (an hour) of a list.
+TEST_F(unanswered_incarnation, AMalformedTimeDelaysNoTaskForAnHour)
+{
+    const job_spec spec = plainJob("a", 1);
+    worker.isUp = false;
+    owner.call(job_call_kind::submit, spec.name, &spec);
+    world.run(3400ms);
+    owner.isDead = true;
+    for (auto &[key, text] : world.store) {
+        const auto begin = text.find(" unanswered/");
+        if (begin != std::string::npos)
+            text.insert(begin + 12, "x");
+    }
+    world.run(electionTime);
+    world.addWorker("w1", "rack-1", {8000, 8000, 0});
+    world.takeOver(next);
+    world.run(60s);
+    EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 1);
+}
+
+// The worker was leaving when its owner was lost: its tasks are known, but not until when they run.
+TEST_F(unanswered_incarnation, AStartThatALeavingWorkerCarriesOutIsAwaited)
+{
+    const job_spec spec = plainJob("a", 1);
+    worker.isUp = false;
+    owner.call(job_call_kind::submit, spec.name, &spec);
+    world.run(300ms);
+    worker.info.isDraining = true;
+    owner.core.onWorker(world.now, worker.info);
+    owner.scheduleTick();
+    world.run(1500ms);
+    world.restartWorker(worker);
+    ASSERT_EQ(worker.runs.size(), 1U);
+    owner.isDead = true;
+    worker.reachesStore = false;
+    next.unreachableWorkers.insert(worker.info.id);
+    world.addWorker("w1", "rack-1", {8000, 8000, 0});
+    world.run(electionTime);
+    world.takeOver(next);
+    world.run(40s);
+    EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 2);
+    EXPECT_EQ(world.violations, std::vector<std::string>());
+}
+
 TEST(RecutWorkers, DuplicateNoRunWhenOwnersAreLost)
 {
     const int seeds = seedCount();
