Bound what a life that no owner has heard of holds in five more cases

Cause (found by a reviewer of the fix, each with a case in virtual time that failed): the bound was dropped on a mere entry of service discovery that named the next life; a leaving record, which says what may be on a worker but not until when, cancelled it; a list of an earlier build, which names no unanswered runs, counted as one that has none; a time that can't be read counted as an hour; misdirected leases from the list lacked the 2% of a slow clock (by reading). Change: only an answer ends the bound; a leaving record doesn't; lists have a line 'unanswered/' if they name such runs; times from the list are capped by the authority of their writer, 15 s on the way and the longest lease. unansweredUntil is unheardUntil now.

--- a/packages/scheduler/former_list.cpp
+++ b/packages/scheduler/former_list.cpp
@@ -7,6 +7,7 @@
 former_list::former_list(const worker_list &list, instant writtenBy)
     : m_misdirected(list.misdirected)
     , m_unanswered(list.unanswered)
+    , m_namesUnanswered(list.namesUnanswered)
     , m_writtenAt(list.writtenAt)
     , m_witnesses(list.witnesses)
     , m_writtenBy(writtenBy)
--- a/packages/scheduler/former_list.h
+++ b/packages/scheduler/former_list.h
@@ -46,6 +46,7 @@
     const std::map<worker_id, silent_lease> &silent() const { return m_silent; }
     const std::vector<misdirected_lease> &misdirected() const { return m_misdirected; }
     const std::vector<unanswered_runs> &unanswered() const { return m_unanswered; }
+    bool namesUnanswered() const { return m_namesUnanswered; }
     const std::optional<owner_moment> &writtenAt() const { return m_writtenAt; }
     const std::vector<clock_witness> &witnesses() const { return m_witnesses; }
 
@@ -55,6 +56,7 @@
     std::map<worker_id, silent_lease> m_silent;
     std::vector<misdirected_lease> m_misdirected;
     std::vector<unanswered_runs> m_unanswered;
+    bool m_namesUnanswered = false;
     std::optional<owner_moment> m_writtenAt;
     std::vector<clock_witness> m_witnesses;
     instant m_writtenBy;
--- a/packages/scheduler/silent_workers.cpp
+++ b/packages/scheduler/silent_workers.cpp
@@ -133,7 +133,7 @@
 {
     std::vector<unanswered_runs> runs;
     for (const auto &[id, worker] : state.workers) {
-        const auto end = unansweredRunsEnd(state, worker);
+        const auto end = latestUnheardRunEnd(state, worker);
         if (end && isSilent(state, worker))
             runs.push_back({id, timeLeftMs(state, *end)});
     }
@@ -162,7 +162,7 @@
         return true;
     if (isSilent(state, worker)) {
         const bool mayHaveRuns
-            = !worker.lease.hasLapsed(state.now) || unansweredRunsEnd(state, worker);
+            = !worker.lease.hasLapsed(state.now) || latestUnheardRunEnd(state, worker);
         const bool isTimeLeftDue = state.now >= state.nextSilentListAt && mayHaveRuns;
         return !worker.isStoredAsSilent || isTimeLeftDue;
     }
@@ -223,6 +223,7 @@
     list.witnesses = isCarried ? state.formerList.witnesses() : chooseWitnesses(state);
     if (list.silent.empty())
         return list;
+    list.namesUnanswered = !isCarried || state.formerList.namesUnanswered();
     state.ports.log("silent_workers_stored",
                     fmt::format("silent={} workers={} first={} last_lease_epoch={} time_left_ms={} "
                                 "witnesses={} is_carried_on={}",
@@ -270,9 +271,10 @@
         worker.lastLeaseEpoch = lastLeaseEpoch;
         const instant authorityEnd = authority.endOf(worker.lastLeaseEpoch);
         worker.lease.limitLapse(authorityEnd);
-        // No command is sent in the last second of an authority, so that none is carried out later.
+        // No command is sent in the last second of an authority, so that none is carried out later
+        // unless it is held up on its way.
         if (lastLeaseEpoch > 0)
-            worker.unansweredUntil = longestRunEnd(state, authorityEnd);
+            worker.unheardUntil = longestRunEnd(state, authorityEnd);
         state.unreportedWorkers.add(stored.id);
     }
     const instant writtenBy = list.writtenAt
@@ -280,7 +282,7 @@
         : state.now;
     state.formerList = former_list(list, writtenBy);
     // Workers shorten all leases, so that none ends later than this.
-    const instant latestEnd = state.now + state.settings.longestLease;
+    const instant latestEnd = longestRunEnd(state, state.now);
     for (const misdirected_lease &lease : list.misdirected) {
         if (worker_record *worker = state.findWorker(lease.worker))
             worker->lease.limitMisdirectedLapse(
@@ -294,11 +296,18 @@
         worker->lastLeaseEpoch = std::min(lease.lastEpoch, lastLeaseEpoch);
         worker->lease.limitLapse(
             std::min(authority.endOf(worker->lastLeaseEpoch), state.formerList.lapseOf(lease)));
-        worker->unansweredUntil.reset(); // The list says which silent workers may have such runs.
+        if (list.namesUnanswered)
+            worker->unheardUntil.reset();
     }
     for (const unanswered_runs &runs : list.unanswered) {
-        if (worker_record *worker = state.findWorker(runs.worker))
-            worker->unansweredUntil = state.formerList.endOf(runs);
+        worker_record *worker = state.findWorker(runs.worker);
+        if (worker == nullptr)
+            continue;
+        const instant authorityEnd = authority.endOf(worker->lastLeaseEpoch);
+        const instant lastCommandAt
+            = authorityEnd == instant::max() ? authorityEnd : authorityEnd + lateCommandLimit;
+        worker->unheardUntil
+            = std::min(state.formerList.endOf(runs), longestRunEnd(state, lastCommandAt));
     }
 }
 
@@ -323,9 +332,8 @@
     }
     for (const unanswered_runs &runs : state.formerList.unanswered()) {
         worker_record *worker = state.findWorker(runs.worker);
-        if (worker != nullptr && worker->unansweredUntil)
-            worker->unansweredUntil
-                = std::min(*worker->unansweredUntil, state.formerList.endOf(runs));
+        if (worker != nullptr && worker->unheardUntil)
+            worker->unheardUntil = std::min(*worker->unheardUntil, state.formerList.endOf(runs));
     }
     for (const misdirected_lease &lease : state.formerList.misdirected()) {
         worker_record *found = state.findWorker(lease.worker);
--- a/packages/scheduler/unreported_workers.cpp
+++ b/packages/scheduler/unreported_workers.cpp
@@ -8,7 +8,7 @@
 possible_incarnation possibleIncarnationOf(const step_spec &step)
 {
     return step.isContinuous || step.allowsDuplicates ? possible_incarnation::known
-                                                      : possible_incarnation::any;
+                                                      : possible_incarnation::known_or_later;
 }
 
 void unreported_workers::limit(const worker_id &worker, std::set<task_name> tasks)
@@ -21,8 +21,7 @@
 bool unreported_workers::excludeKnownIncarnation(const worker_id &worker)
 {
     const auto found = m_workers.find(worker);
-    return found != m_workers.end()
-        && !std::exchange(found->second.isKnownIncarnationExcluded, true);
+    return found != m_workers.end() && !std::exchange(found->second.hasOnlyLaterIncarnation, true);
 }
 
 bool unreported_workers::mayHaveAny(possible_incarnation where) const
--- a/packages/scheduler/unreported_workers.h
+++ b/packages/scheduler/unreported_workers.h
@@ -16,7 +16,7 @@
 /// Where a task may be while workers have not reported.
 enum class possible_incarnation {
     known, ///< Only on the incarnation that the earlier owner knew.
-    any, ///< Also on a later one, which has answered no owner.
+    known_or_later, ///< Also on a later one, which has answered no owner.
 };
 
 /// Returns where a task of the step may be. A continuous task is needed elsewhere before a run on a
@@ -64,11 +64,11 @@
     struct possible_runs
     {
         std::optional<std::set<task_name>> tasks; ///< Nothing if any task may be there.
-        bool isKnownIncarnationExcluded = false;
+        bool hasOnlyLaterIncarnation = false;
 
         bool mayBeOn(possible_incarnation where) const
         {
-            return !isKnownIncarnationExcluded || where == possible_incarnation::any;
+            return !hasOnlyLaterIncarnation || where == possible_incarnation::known_or_later;
         }
         bool mayHave(const task_name &task, possible_incarnation where) const
         {
--- a/packages/scheduler/worker_incarnation.cpp
+++ b/packages/scheduler/worker_incarnation.cpp
@@ -80,9 +80,10 @@
     return end && state.now <= *end;
 }
 
-std::optional<instant> unansweredRunsEnd(const scheduler_state &state, const worker_record &worker)
+std::optional<instant> latestUnheardRunEnd(const scheduler_state &state,
+                                           const worker_record &worker)
 {
-    std::optional<instant> latest = worker.unansweredUntil;
+    std::optional<instant> latest = worker.unheardUntil;
     for (const auto &[name, run] : worker.runs)
         latest = std::max(latest, unansweredRunEnd(state, run));
     return latest && state.now <= *latest ? latest : std::nullopt;
@@ -122,7 +123,6 @@
     worker.lease = worker_lease();
     worker.clockCeiling = clock_ceiling();
     worker.lease.limitMisdirectedLapse(longestRunEnd(state, lastCommandAt));
-    worker.unansweredUntil.reset();
     state.isWorkerListDirty = true; // A later owner has to know of that lease.
     worker.lastLeaseEpoch = state.epoch;
     worker.ackedCompletions = 0;
--- a/packages/scheduler/worker_incarnation.h
+++ b/packages/scheduler/worker_incarnation.h
@@ -44,7 +44,8 @@
 
 /// Returns until when finite runs may last on an incarnation of the worker that has answered no
 /// owner, or nothing if there can be none by now.
-std::optional<instant> unansweredRunsEnd(const scheduler_state &state, const worker_record &worker);
+std::optional<instant> latestUnheardRunEnd(const scheduler_state &state,
+                                           const worker_record &worker);
 
 /// Handles a restart of the worker: gives up the runs of the former incarnation, resets clock,
 /// completions and lease, and fences off the commands sent so far. The answer to a later poll shows
--- a/packages/scheduler/worker_list.cpp
+++ b/packages/scheduler/worker_list.cpp
@@ -145,6 +145,8 @@
     if (startsWith(line, misdirectedPrefix)) {
         if (auto lease = parseTimeLeft<misdirected_lease>(line, misdirectedPrefix))
             list.misdirected.push_back(std::move(*lease));
+    } else if (line == unansweredPrefix) {
+        list.namesUnanswered = true;
     } else if (startsWith(line, unansweredPrefix)) {
         if (auto runs = parseTimeLeft<unanswered_runs>(line, unansweredPrefix))
             list.unanswered.push_back(std::move(*runs));
@@ -161,6 +163,8 @@
 {
     std::string text = incarnationsToText(list.workers);
     appendTimesLeft(list.misdirected, misdirectedPrefix, text);
+    if (list.namesUnanswered)
+        text.append(unansweredPrefix) += '\n';
     appendTimesLeft(list.unanswered, unansweredPrefix, text);
     for (const clock_witness &witness : list.witnesses)
         text += ' ' + std::to_string(witness.incarnationStartUnixMs) + '/'
--- a/packages/scheduler/worker_list.h
+++ b/packages/scheduler/worker_list.h
@@ -96,23 +96,26 @@
     std::optional<owner_moment> writtenAt; ///< Absent in lists of earlier builds.
     std::vector<clock_witness> witnesses; ///< Of when it was written; none without leases.
     std::vector<misdirected_lease> misdirected; ///< None in lists of earlier builds.
-    std::vector<unanswered_runs> unanswered; ///< None in lists of earlier builds.
+    std::vector<unanswered_runs> unanswered; ///< Of silent workers.
+    /// The other silent workers have no such runs. False in lists of earlier builds, which name
+    /// none.
+    bool namesUnanswered = false;
 
     friend bool operator==(const worker_list &a, const worker_list &b)
     {
         return a.workers == b.workers && a.silent == b.silent && a.writtenAt == b.writtenAt
             && a.witnesses == b.witnesses && a.misdirected == b.misdirected
-            && a.unanswered == b.unanswered;
+            && a.unanswered == b.unanswered && a.namesUnanswered == b.namesUnanswered;
     }
 };
 
 /// Formats the incarnations as a line ` lives/milliseconds,milliseconds,...` in the order of the
 /// workers, the misdirected leases as lines ` restarted/milliseconds/id`, the unanswered runs as
-/// lines ` unanswered/milliseconds/id`, the witnesses as lines ` incarnation/milliseconds/id`, when
-/// the list was written as a line ` epoch/milliseconds`, and one worker a line, `id address`.
-/// Earlier builds skip the lines that begin with a space, and take the last of them for the time of
-/// writing. The silent leases follow the last line end, each as `id epoch milliseconds `: builds
-/// still earlier ignore that part.
+/// lines ` unanswered/milliseconds/id` after a line ` unanswered/`, the witnesses as lines `
+/// incarnation/milliseconds/id`, when the list was written as a line ` epoch/milliseconds`, and one
+/// worker a line, `id address`. Earlier builds skip the lines that begin with a space, and take the
+/// last of them for the time of writing. The silent leases follow the last line end, each as `id
+/// epoch milliseconds `: builds still earlier ignore that part.
 std::string toText(const worker_list &list);
 
 /// Parses the output of toText(). Lines without a worker are skipped. If the part on silent leases
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -302,7 +302,7 @@
     std::int64_t lastLeaseEpoch = 0;
     /// Until when runs that an earlier owner started may last on an incarnation that has answered
     /// no owner. Nothing once the worker has reported, or if there can be none.
-    std::optional<instant> unansweredUntil;
+    std::optional<instant> unheardUntil;
     /// The stored list of workers may name the worker as silent. It gets no lease and no task,
     /// because a later owner would not know of them.
     bool isStoredAsSilent = false;
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -188,7 +188,7 @@
     const bool isFenced = command.number > worker.lastPollBeforeFence;
     if (!worker.hasReported && isFenced) {
         logFirstReport(state, worker);
-        worker.unansweredUntil.reset();
+        worker.unheardUntil.reset();
         if (worker.lease.misdirectedUntil())
             worker.lease.limitMisdirectedLapse(longestRunEnd(state, state.now));
         worker.hasReported = true;
@@ -252,11 +252,10 @@
 }
 
 // Returns true if a run that an earlier owner started may exist on an incarnation of the worker
-// that has answered no owner. The tasks on a worker that was leaving are known, and their runs too.
-bool mayHaveUnansweredRuns(const scheduler_state &state, const worker_record &worker)
+// that has answered no owner.
+bool mayHaveUnheardRuns(const scheduler_state &state, const worker_record &worker)
 {
-    return worker.unansweredUntil && state.inputHandledUntil <= *worker.unansweredUntil
-        && state.unreportedWorkers.tasksOn(worker.info.id) == nullptr;
+    return worker.unheardUntil && state.inputHandledUntil <= *worker.unheardUntil;
 }
 
 // Logs that tasks which an earlier owner may have started on the worker may start elsewhere.
@@ -279,14 +278,14 @@
 {
     if (!state.unreportedWorkers.contains(worker.info.id))
         return false;
-    if (!mayHaveUnansweredRuns(state, worker)) {
+    if (!mayHaveUnheardRuns(state, worker)) {
         logGivenUp(state, worker);
         return noteReported(state, worker.info.id);
     }
     if (!state.unreportedWorkers.excludeKnownIncarnation(worker.info.id))
         return false;
-    const auto timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
-        *worker.unansweredUntil - state.now);
+    const auto timeLeft
+        = std::chrono::duration_cast<std::chrono::milliseconds>(*worker.unheardUntil - state.now);
     state.ports.log("known_incarnation_given_up",
                     fmt::format("worker={} born={} bound={} last_lease_epoch={} "
                                 "unanswered_left_ms={}",
