Count all calls that a later life takes in the soak

Cause: the soak counted only calls that had arrived before the restart. Change: restarting_worker counts each held call that another life than the one before the dark carries out. The check is the same.

--- a/test/standin/restarting_worker.cpp
+++ b/test/standin/restarting_worker.cpp
@@ -57,6 +57,8 @@
 void restarting_worker::setReach(worker_reach reach)
 {
     m_reach = reach;
+    if (reach == worker_reach::dark)
+        m_lifeBeforeDark = m_life;
     if (reach != worker_reach::connected) {
         for (const waiting_poll &poll : m_polls)
             m_unanswered.push_back(poll.exchange);
@@ -64,20 +66,20 @@
         return;
     }
     const auto held = std::exchange(m_held, {});
-    for (const held_call &call : held) {
-        if (call.life != m_life)
+    for (const auto &exchange : held) {
+        if (m_lifeBeforeDark != m_life)
             m_audit.noteMisdirected();
-        const json body = json::parse(call.exchange->body(), nullptr, false);
+        const json body = json::parse(exchange->body(), nullptr, false);
         if (body.is_object())
-            execute(call.exchange->path(), body, nullptr);
-        m_unanswered.push_back(call.exchange);
+            execute(exchange->path(), body, nullptr);
+        m_unanswered.push_back(exchange);
     }
 }
 
 void restarting_worker::handle(const std::shared_ptr<http_exchange> &exchange)
 {
     if (m_reach == worker_reach::dark)
-        m_held.push_back({exchange, m_life});
+        m_held.push_back(exchange);
     if (m_reach == worker_reach::cut_off)
         m_unanswered.push_back(exchange);
     if (m_reach != worker_reach::connected)
--- a/test/standin/restarting_worker.h
+++ b/test/standin/restarting_worker.h
@@ -62,11 +62,6 @@
         int run = 0;
         std::string reason;
     };
-    struct held_call
-    {
-        std::shared_ptr<http_exchange> exchange;
-        int life = 0; ///< The life to which it was sent.
-    };
     struct waiting_poll
     {
         std::shared_ptr<http_exchange> exchange;
@@ -106,10 +101,11 @@
     http_service m_service;
     instant m_createdAt;
     worker_reach m_reach = worker_reach::connected;
-    std::vector<held_call> m_held;
+    std::vector<std::shared_ptr<http_exchange>> m_held;
     /// Calls without an answer, whose connections stay open until the caller gives up.
     std::vector<std::shared_ptr<http_exchange>> m_unanswered;
     int m_life = 0;
+    int m_lifeBeforeDark = 0; ///< The one for which calls that are held were meant.
     instant m_bornAt;
     std::int64_t m_bornUnixMs = 0;
     std::int64_t m_sequence = 0;
