Listen below the range of outgoing ports in the soak

Suspected: a port that was free when it was probed was taken before its host listened, by an outgoing connection or by another soak. Change: each test process probes ports in a range of its own below those that the system gives to outgoing connections. That this was the cause isn't shown.

--- a/test/standin/platform_process.cpp
+++ b/test/standin/platform_process.cpp
@@ -57,7 +57,19 @@
 
 int freePort(event_loop &loop)
 {
+    // Below the ports that the system gives to outgoing connections, which could take one while its
+    // host restarts. Each test process uses a range of its own.
+    constexpr int firstPort = 10000;
+    constexpr int portsPerProcess = 16;
+    constexpr int ranges = 1300;
+    static int next = 0;
+    const int first = firstPort + int(getpid()) % ranges * portsPerProcess;
     http_server probe(loop, http_server_settings(), [](const auto &, const auto &) {});
+    for (int i = 0; i < portsPerProcess; ++i) {
+        const int port = first + next++ % portsPerProcess;
+        if (probe.listen({"127.0.0.1", std::uint16_t(port)}))
+            return port;
+    }
     return probe.listen({"127.0.0.1", 0})->port;
 }
 
--- a/test/standin/platform_process.h
+++ b/test/standin/platform_process.h
@@ -46,7 +46,8 @@
     std::unique_ptr<child_process> m_process;
 };
 
-/// Returns a loopback port that was free when it was probed.
+/// Returns a loopback port that was free when it was probed, and that neither other test processes
+/// nor outgoing connections use as a rule.
 int freePort(event_loop &loop);
 
 } // namespace crocuswind::standin
