--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -135,14 +135,15 @@
     }
 }
 
-// Logs which incarnation this owner takes the worker for from now on.
+// Logs which incarnation this owner takes a worker of an earlier owner for from now on.
 void logFirstReport(scheduler_state &state, const worker_record &worker)
 {
+    if (!state.unreportedWorkers.contains(worker.info.id))
+        return;
     state.logDetail("incarnation_known", [&] {
-        return fmt::format("worker={} born={} stored_born={} bound={} is_former={}",
-                           worker.info.id.value, worker.incarnationStartUnixMs,
-                           worker.storedIncarnationStartUnixMs, toWord(worker.lease.latestSource()),
-                           state.unreportedWorkers.contains(worker.info.id));
+        return fmt::format("worker={} born={} stored_born={} bound={}", worker.info.id.value,
+                           worker.incarnationStartUnixMs, worker.storedIncarnationStartUnixMs,
+                           toWord(worker.lease.latestSource()));
     });
 }
 
