--- a/test/standin/restarting_worker.h
+++ b/test/standin/restarting_worker.h
@@ -30,6 +30,8 @@
 /// How long a task runs; nothing if it runs until it is stopped.
 using run_time_function = std::function<std::optional<duration>(const std::string &task)>;
 
+/// A worker with runs, a lease and a clock of its own. One object stands for all lives of its
+/// process.
 class restarting_worker
 {
 public:
