Let an owner that the store refuses write through another host

A store that refused the owner alone, and served all others, cost it the office within a second, and hosts that the store refused too never learnt of the next owner. Store calls of an owner now go through a host that the store serves, watches too; news of an owner travels over the links between hosts; a host that sees neither the owner nor the store refuses calls at once and is not ready. Calls held for over a second are counted by what they waited for.

--- a/packages/jobs/host_links.cpp
+++ b/packages/jobs/host_links.cpp
@@ -17,6 +17,9 @@
 constexpr char offerFrameTag = 'O'; ///< Offer to relay commands.
 constexpr char commandsFrameTag = 'W'; ///< Commands to relay.
 constexpr char resultsFrameTag = 'V'; ///< Results of relayed commands.
+constexpr char storeCallFrameTag = 'S'; ///< A call to the store for an owner that the store fails.
+constexpr char storeHelpFrameTag = 'H'; ///< The answer to such a call.
+constexpr char ownerNewsFrameTag = 'N'; ///< Which host owns the jobs.
 
 /// All hosts keep a link to the owner.
 constexpr std::size_t maxAcceptedLinks = 2000;
@@ -86,6 +89,11 @@
     return m_links.isUp(peer);
 }
 
+std::vector<host_id> host_links::peersUp() const
+{
+    return m_links.peersUp();
+}
+
 bool host_links::sendCall(const host_id &peer, const job_call &call)
 {
     return sendFrame(peer, callFrameTag, encodeCall(call));
@@ -111,6 +119,21 @@
     sendFrame(peer, resultsFrameTag, bytes);
 }
 
+bool host_links::sendStoreCall(const host_id &peer, const helped_store_call &call)
+{
+    return sendFrame(peer, storeCallFrameTag, encodeStoreCall(call));
+}
+
+bool host_links::sendStoreHelp(const host_id &peer, const store_help &help)
+{
+    return sendFrame(peer, storeHelpFrameTag, encodeStoreHelp(help));
+}
+
+void host_links::sendOwnerNews(const host_id &peer, const owner_info &owner)
+{
+    sendFrame(peer, ownerNewsFrameTag, encodeOwnerNews(owner));
+}
+
 bool host_links::sendFrame(const host_id &peer, char tag, const std::string &bytes)
 {
     return m_links.send(peer, tag + bytes) == peer_send_result::queued;
@@ -139,6 +162,16 @@
         return m_callbacks.commands(peer, bytes);
     case resultsFrameTag:
         return m_callbacks.results(bytes);
+    case storeCallFrameTag:
+        return handleDecoded(decodeStoreCall(bytes), [&](const helped_store_call &call) {
+            m_callbacks.storeCall(peer, call);
+        });
+    case storeHelpFrameTag:
+        return handleDecoded(decodeStoreHelp(bytes),
+                             [&](const store_help &help) { m_callbacks.storeHelp(peer, help); });
+    case ownerNewsFrameTag:
+        return handleDecoded(decodeOwnerNews(bytes),
+                             [&](const owner_info &owner) { m_callbacks.ownerNews(peer, owner); });
     default:
         return false;
     }
--- a/packages/jobs/host_links.h
+++ b/packages/jobs/host_links.h
@@ -31,6 +31,12 @@
     std::function<bool(const host_id &peer, std::string_view bytes)> commands;
     /// A peer sends encoded results of relayed commands. Returns false if they are malformed.
     std::function<bool(std::string_view bytes)> results;
+    /// The peer, an owner that the store fails, asks for a call to the store.
+    std::function<void(const host_id &peer, const scheduler::helped_store_call &call)> storeCall;
+    /// The peer answers such a call of this host.
+    std::function<void(const host_id &peer, const scheduler::store_help &help)> storeHelp;
+    /// The peer tells which host owns the jobs.
+    std::function<void(const host_id &peer, const scheduler::owner_info &owner)> ownerNews;
 };
 
 /// The links of one entry host to the others. The first byte of each frame tells the kind of its
@@ -53,6 +59,9 @@
     /// Returns whether a link to the peer is usable.
     bool isUp(const host_id &peer) const;
 
+    /// Returns the peers with a usable link.
+    std::vector<host_id> peersUp() const;
+
     /// Forwards a call. Returns false if it was not sent.
     bool sendCall(const host_id &peer, const scheduler::job_call &call);
     /// Sends the reply to a call of the peer. It is lost if no link is usable.
@@ -63,6 +72,12 @@
     bool sendCommands(const host_id &peer, const std::string &bytes);
     /// Sends encoded results of commands that the peer had this host relay.
     void sendResults(const host_id &peer, const std::string &bytes);
+    /// Asks the peer for a call to the store. Returns false if it was not sent.
+    bool sendStoreCall(const host_id &peer, const scheduler::helped_store_call &call);
+    /// Answers such a call of the peer. Returns false if it was not sent.
+    bool sendStoreHelp(const host_id &peer, const scheduler::store_help &help);
+    /// Tells the peer which host owns the jobs.
+    void sendOwnerNews(const host_id &peer, const scheduler::owner_info &owner);
 
 private:
     /// Encodes the hello frame between entry hosts, which carries the name of the sender.
--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -5,11 +5,13 @@
 #include "job_handover.h"
 #include "job_metrics.h"
 #include "load_report.h"
+#include "owner_contacts.h"
 #include "owner_watch.h"
 #include "records_reader.h"
 #include "relayed_worker_link.h"
+#include "store_paths.h"
+#include "wall_clock.h"
 
-#include <ctime>
 #include <map>
 #include <set>
 #include <utility>
@@ -19,23 +21,11 @@
 
 using namespace scheduler;
 
-namespace {
-
-std::int64_t unixNowMs()
-{
-    timespec time = {};
-    clock_gettime(CLOCK_REALTIME, &time);
-    return std::int64_t(time.tv_sec) * 1000 + time.tv_nsec / 1000000;
-}
-
-} // namespace
-
 struct job_host::implementation final : public scheduler_ports, public election_ports
 {
     implementation(event_loop &l, store &s, worker_link &w, random_source &random,
                    metrics_registry &m, job_host_settings hostSettings, job_host_callbacks c)
         : loop(l)
-        , platformStore(s)
         , metrics(m)
         , settings(std::move(hostSettings))
         , callbacks(std::move(c))
@@ -47,15 +37,17 @@
                 [this](const host_id &owner, const std::string &bytes) {
                     links.sendResults(owner, bytes);
                 })
+        , paths(l, s, schedulerLog, links)
         , core(settings.scheduler, *this)
         , election(electionSettings(settings), *this)
         , handover(l, schedulerLog, core, election)
-        , records(l, s, settings.scheduler.keyPrefix)
+        , records(l, paths.detour, settings.scheduler.keyPrefix)
         , loadReport(l, schedulerLog, m, core)
         , router(
               l, random,
               [this](const host_id &owner, const job_call &call) { return sendCall(owner, call); })
         , links(l, schedulerLog, settings.host, random, linkCallbacks())
+        , contacts(links, settings.host)
     { }
 
     ~implementation() override
@@ -85,7 +77,10 @@
             [this](const host_id &peer, std::string_view bytes) {
                 return relay.onCommands(peer, bytes);
             },
-            [this](std::string_view bytes) { return workers.onResults(bytes); }};
+            [this](std::string_view bytes) { return workers.onResults(bytes); },
+            paths.callCallback(),
+            paths.helpCallback(),
+            [this](const host_id &peer, const owner_info &owner) { handleNews(peer, owner); }};
     }
 
     // Wraps a callback so that it does nothing after this object was destroyed.
@@ -177,21 +172,26 @@
     void submit(std::uint64_t token, const store_operation &operation, instant deadline) override
     {
         const instant sentAt = loop.now();
-        platformStore.submit(operation, deadline,
-                             guarded([this, token, sentAt](const store_result &result) {
-                                 if (result)
-                                     loadReport.recordStoreCall(sentAt);
-                                 election.onStoreResult(loop.now(), token, result);
-                                 scheduleElection();
-                                 scheduleCore();
-                             }));
+        paths.detour.submit(operation, deadline,
+                            guarded([this, token, sentAt](const store_result &result) {
+                                if (result)
+                                    loadReport.recordStoreCall(sentAt);
+                                election.onStoreResult(loop.now(), token, result);
+                                scheduleElection();
+                                scheduleCore();
+                            }));
     }
 
-    void onElected(std::int64_t epoch) override { readRecords(epoch); }
+    void onElected(std::int64_t epoch) override
+    {
+        paths.detour.setMayAskOthers(true);
+        readRecords(epoch);
+    }
 
     void onDeposed() override
     {
         records.cancelRetry();
+        paths.detour.setMayAskOthers(false);
         const bool wasOwner = core.isOwner();
         core.giveUp(loop.now());
         workers.reset();
@@ -204,24 +204,29 @@
     {
         schedulerLog.info("event=owner host={} epoch={}", owner ? owner->host.value : "none",
                           owner ? owner->epoch : 0);
-        knownOwner = owner ? owner->host : host_id();
-        std::vector<peer_address> peers;
-        if (owner && owner->host != settings.host) {
-            if (const auto endpoint = parseEndpoint(owner->address))
-                peers.push_back({owner->host, *endpoint});
-        }
-        links.setPeers(peers);
+        contacts.setOwner(owner);
         router.setOwner(owner ? std::optional<host_id>(owner->host) : std::nullopt);
-        if (owner && owner->host != settings.host && links.isUp(owner->host))
+        if (contacts.isElsewhere() && links.isUp(owner->host))
             onLinkUp(owner->host);
     }
 
+    void handleNews(const host_id &from, const owner_info &owner)
+    {
+        if (!election.onOwnerNews(loop.now(), owner))
+            return;
+        schedulerLog.info("event=owner_news from={} host={} epoch={}", from.value, owner.host.value,
+                          owner.epoch);
+        contacts.spread(from, owner);
+        scheduleElection();
+        scheduleCore();
+    }
+
     // Links to other entry hosts.
 
     void onLinkUp(const host_id &peer)
     {
         router.onHostReachable(peer);
-        if (peer == knownOwner)
+        if (peer == contacts.owner())
             sendOffer();
     }
 
@@ -230,6 +235,7 @@
         router.onHostUnreachable(peer);
         relay.onOwnerLost(peer);
         handover.removeCandidate(peer);
+        paths.onHostLost(peer);
         const std::size_t relaysBefore = workers.relayCount();
         workers.onHostLost(peer);
         if (workers.relayCount() != relaysBefore)
@@ -241,8 +247,9 @@
     // Offers to the owner to relay its commands to workers, or withdraws the offer.
     void sendOffer()
     {
-        if (!knownOwner.empty() && knownOwner != settings.host)
-            links.sendOffer(knownOwner, {!isDraining, settings.dataCentre, settings.milliCores});
+        if (contacts.isElsewhere())
+            links.sendOffer(contacts.owner(),
+                            {!isDraining, settings.dataCentre, settings.milliCores});
     }
 
     void onCommitted() override
@@ -316,6 +323,7 @@
     void handleOffer(const host_id &peer, const relay_offer &offer)
     {
         workers.onOffer(peer, offer);
+        paths.onOffer(peer, offer);
         if (offer.isAvailable)
             handover.addCandidate(peer);
         else
@@ -352,13 +360,13 @@
     }
 
     event_loop &loop;
-    store &platformStore;
     metrics_registry &metrics;
     job_host_settings settings;
     job_host_callbacks callbacks;
     logger schedulerLog{"scheduler"};
     relayed_worker_link workers;
     command_relay relay;
+    store_paths paths;
     scheduler_core core;
     owner_election election;
     job_handover handover;
@@ -366,6 +374,7 @@
     load_report loadReport;
     job_router router;
     host_links links;
+    owner_contacts contacts;
     std::unique_ptr<owner_watch> ownerWatch;
     /// The hosts and their tokens of calls that the core is to answer, by the token that the core
     /// was given. Tokens of the core stay within this process.
@@ -375,7 +384,6 @@
     instant exclusiveUntil;
     bool wasCoreOwner = false;
     bool isDraining = false;
-    host_id knownOwner; ///< Empty if no host owns the jobs.
     timer_id coreTimer = 0;
     timer_id electionTimer = 0;
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
@@ -397,19 +405,28 @@
     if (!listening)
         return tl::unexpected(listening.error());
     i.ownerWatch = std::make_unique<owner_watch>(
-        i.loop, i.platformStore, i.settings.scheduler.keyPrefix,
+        i.loop, i.paths.detour, i.settings.scheduler.keyPrefix,
         owner_watch_callbacks{
             [&i](const std::optional<std::string> &value, std::int64_t revision) {
+                i.router.setOwnerVisible(true);
                 i.election.onOwnerKey(i.loop.now(), value, revision);
                 i.scheduleElection();
             },
             [&i](const std::string &value) { i.election.onConfirmationKey(i.loop.now(), value); },
-            [&i] { i.election.onOwnerKeyUnknown(i.loop.now()); }});
+            [&i] {
+                i.router.setOwnerVisible(false);
+                i.election.onOwnerKeyUnknown(i.loop.now());
+            }});
     i.election.setEligible(i.loop.now(), true);
     i.scheduleElection();
     return {};
 }
 
+store &job_host::storeAccess()
+{
+    return m_implementation->paths.detour;
+}
+
 void job_host::setQueues(const std::vector<queue_policy> &queues)
 {
     m_implementation->core.setQueues(m_implementation->loop.now(), queues);
@@ -462,9 +479,9 @@
     m_implementation->router.stop();
 }
 
-std::optional<instant> job_host::unreachableSince() const
+const policy::owner_contact &job_host::contact() const
 {
-    return m_implementation->router.unreachableSince();
+    return m_implementation->router.contact();
 }
 
 bool job_host::isOwner() const
@@ -480,7 +497,7 @@
 void job_host::updateMetrics()
 {
     implementation &i = *m_implementation;
-    setJobMetrics(i.metrics, i.core, i.router, i.workers);
+    setJobMetrics(i.metrics, i.core, i.router, i.workers, i.paths);
 }
 
 } // namespace crocuswind
--- a/packages/jobs/job_host.h
+++ b/packages/jobs/job_host.h
@@ -50,6 +50,10 @@
     /// message if the address cannot be listened on.
     tl::expected<void, std::string> start();
 
+    /// Returns the store as this host reaches it. While this host owns the jobs and the store fails
+    /// it, calls and watches go through other hosts. Valid as long as this object.
+    store &storeAccess();
+
     /// Replaces the policies of all queues.
     void setQueues(const std::vector<scheduler::queue_policy> &queues);
     /// Replaces the set of data centres in which no task may be started. Call it before the first
@@ -76,8 +80,8 @@
     /// Answers all open calls at once, and each new one. For a process that is about to end.
     void stop();
 
-    /// Returns since when this host has been unable to reach an owner, or nothing if it can.
-    std::optional<instant> unreachableSince() const;
+    /// Returns what this host knows of the owner of the jobs.
+    const policy::owner_contact &contact() const;
 
     /// Returns true if this host owns the jobs and has read their records.
     bool isOwner() const;
--- a/packages/jobs/job_metrics.cpp
+++ b/packages/jobs/job_metrics.cpp
@@ -8,7 +8,7 @@
 using namespace scheduler;
 
 void setJobMetrics(metrics_registry &metrics, const scheduler_core &core, const job_router &router,
-                   const relayed_worker_link &workers)
+                   const relayed_worker_link &workers, const store_paths &paths)
 {
     const scheduler_counters &c = core.counters();
     const std::pair<const char *, std::int64_t> totals[] = {
@@ -33,6 +33,12 @@
         metrics.setTotal(name, {}, double(total));
     metrics.setTotal("crocuswind_commands_relayed_total", {}, double(workers.relayedCommands()));
     metrics.setTotal("crocuswind_results_foreign_total", {}, double(workers.foreignResults()));
+    const store_detour_counters &detour = paths.detour.counters();
+    metrics.setTotal("crocuswind_store_detours_total", {}, double(detour.begun));
+    metrics.setTotal("crocuswind_store_calls_by_others_total", {}, double(detour.operations));
+    metrics.setTotal("crocuswind_store_calls_for_others_total", {},
+                     double(paths.helper.operations()));
+    router.held().setMetrics(metrics);
     metrics.set("crocuswind_relays", {}, double(workers.relayCount()));
     metrics.set("crocuswind_owner", {}, core.isOwner() ? 1 : 0);
     metrics.set("crocuswind_jobs_known", {}, double(c.jobsKnown));
--- a/packages/jobs/job_metrics.h
+++ b/packages/jobs/job_metrics.h
@@ -6,12 +6,14 @@
 #include "job_router.h"
 #include "relayed_worker_link.h"
 #include "scheduler/scheduler.h"
+#include "store_paths.h"
 
 namespace crocuswind {
 
 /// Sets all metrics of the jobs of one entry host, except those of load_report.
 void setJobMetrics(metrics_registry &metrics, const scheduler::scheduler_core &core,
-                   const job_router &router, const relayed_worker_link &workers);
+                   const job_router &router, const relayed_worker_link &workers,
+                   const store_paths &paths);
 
 } // namespace crocuswind
 
--- a/packages/jobs/job_router.cpp
+++ b/packages/jobs/job_router.cpp
@@ -12,13 +12,6 @@
 
 namespace {
 
-/// Calls wait this long for a new owner, which usually takes over within this time. Afterwards they
-/// are refused, those that wait and new ones at once, until an owner is reachable.
-constexpr duration ownerChangeGracePeriod = 2500ms;
-
-/// Retry delay given to a caller that is refused because no owner is reachable.
-constexpr std::int64_t noOwnerRetryAfterMs = 1000;
-
 /// Delay before a call that was answered `not_owner` is sent again: the ownership of that host is
 /// changing, so the next attempt may succeed or find another owner.
 constexpr duration notOwnerRetryInterval = 60ms;
@@ -39,9 +32,9 @@
 job_router::job_router(event_loop &loop, random_source &random, job_call_sender sender)
     : m_loop(loop)
     , m_sender(std::move(sender))
-    , m_unreachableSince(loop.now())
     , m_tokens(random)
 {
+    m_contact.unreachableSince = loop.now();
     scheduleRefusals();
 }
 
@@ -61,12 +54,11 @@
     call.token = token;
     pending_call &pending = m_pending[token];
     pending.call = std::move(call);
+    pending.arrivedAt = m_loop.now();
     pending.deadline = deadline;
     pending.done = std::move(done);
     pending.deadlineTimer = m_loop.callAt(deadline, [this, token] { onDeadline(token); });
-    const bool isOwnerMissing
-        = m_unreachableSince && m_loop.now() - *m_unreachableSince > ownerChangeGracePeriod;
-    if (m_isStopped || isOwnerMissing) {
+    if (m_isStopped || policy::refusesCalls(m_contact, m_loop.now())) {
         onDeadline(token);
         return;
     }
@@ -123,33 +115,52 @@
 void job_router::setReachable(bool isReachable)
 {
     if (isReachable) {
-        m_unreachableSince.reset();
+        m_contact.unreachableSince.reset();
         m_loop.cancel(m_refusalTimer);
-    } else if (!m_unreachableSince) {
-        m_unreachableSince = m_loop.now();
+    } else if (!m_contact.unreachableSince) {
+        m_contact.unreachableSince = m_loop.now();
         scheduleRefusals();
     }
 }
 
+void job_router::setOwnerVisible(bool isVisible)
+{
+    if (isVisible == !m_contact.blindSince)
+        return;
+    m_contact.blindSince = isVisible ? std::nullopt : std::optional<instant>(m_loop.now());
+    if (m_contact.unreachableSince)
+        scheduleRefusals();
+}
+
 void job_router::scheduleRefusals()
 {
-    m_refusalTimer
-        = m_loop.callAt(*m_unreachableSince + ownerChangeGracePeriod, [this] { refuseUnsent(); });
+    m_loop.cancel(m_refusalTimer);
+    m_refusalTimer = m_loop.callAt(policy::patienceEnd(m_contact), [this] { refuseUnsent(); });
 }
 
 // Refuses the calls that certainly have had no effect, rather than let them wait for their
-// deadline. Those that an owner may have carried out wait on.
+// deadline. Those that an owner may have carried out wait on for its successor, unless this host is
+// cut off: then their callers learn at another host what became of them.
 void job_router::refuseUnsent()
 {
     std::vector<call_token> waiting;
     for (const auto &[token, pending] : m_pending) {
-        if (!pending.lastSentTo || !isMutation(pending.call))
+        if (!pending.lastSentTo || !isMutation(pending.call) || policy::isCutOff(m_contact))
             waiting.push_back(token);
     }
     for (call_token token : waiting)
         onDeadline(token);
 }
 
+call_wait job_router::waitOf(const pending_call &pending) const
+{
+    if (policy::isCutOff(m_contact))
+        return call_wait::cut_off;
+    if (m_contact.unreachableSince)
+        return m_owner ? call_wait::no_link : call_wait::no_owner;
+    return pending.isToldOfTakeover ? call_wait::takeover : call_wait::reply;
+}
+
 void job_router::setOwner(const std::optional<host_id> &owner)
 {
     if (m_owner == owner)
@@ -200,6 +211,7 @@
     if (pending.awaitingReplyFrom != from)
         return;
     const call_token token = reply.token;
+    pending.isToldOfTakeover = true;
     m_loop.cancel(pending.resendTimer);
     pending.resendTimer = m_loop.callAt(m_loop.now() + notOwnerRetryInterval, [this, token] {
         const auto again = m_pending.find(token);
@@ -222,7 +234,7 @@
     if (!pending.lastSentTo || !isMutation(pending.call)) {
         reply.outcome = job_outcome::refused;
         reply.reason = "no host owns the jobs at present";
-        reply.retryAfterMs = noOwnerRetryAfterMs;
+        reply.retryAfterMs = policy::retryAfterMs(m_contact, token);
         ++m_counters.refusedWithoutOwner;
     } else {
         ++m_counters.unanswered;
@@ -234,6 +246,8 @@
 {
     const auto found = m_pending.find(token);
     const done_callback done = std::move(found->second.done);
+    m_held.note(found->second.call, waitOf(found->second), reply.outcome,
+                m_loop.now() - found->second.arrivedAt);
     m_loop.cancel(found->second.deadlineTimer);
     m_loop.cancel(found->second.resendTimer);
     m_pending.erase(found);
--- a/packages/jobs/job_router.h
+++ b/packages/jobs/job_router.h
@@ -3,8 +3,10 @@
 #define CROCUSWIND_JOBS_JOB_ROUTER_H
 
 #include "base/base.h"
+#include "held_calls.h"
 #include "io/io.h"
 #include "life_tokens.h"
+#include "policy/policy.h"
 #include "scheduler/scheduler.h"
 
 #include <functional>
@@ -53,6 +55,9 @@
     /// Sets the owner of the jobs, or nothing if no host owns them.
     void setOwner(const std::optional<host_id> &owner);
 
+    /// Sets whether this host sees in the store which host owns the jobs.
+    void setOwnerVisible(bool isVisible);
+
     /// The connection to \p host has been established, or has been lost.
     void onHostReachable(const host_id &host);
     void onHostUnreachable(const host_id &host);
@@ -61,8 +66,10 @@
     /// former process of this host is dropped and counted.
     void onReply(const host_id &from, const scheduler::job_reply &reply);
 
-    /// Returns since when no owner has been reachable, or nothing if one is.
-    std::optional<instant> unreachableSince() const { return m_unreachableSince; }
+    /// Returns what this host knows of the owner, by which calls are refused.
+    const policy::owner_contact &contact() const { return m_contact; }
+
+    const held_calls &held() const { return m_held; }
 
     const job_router_counters &counters() const { return m_counters; }
 
@@ -70,12 +77,14 @@
     struct pending_call
     {
         scheduler::job_call call;
+        instant arrivedAt;
         instant deadline;
         done_callback done;
         /// The host whose reply is awaited. Empty if the call is to be sent.
         std::optional<host_id> awaitingReplyFrom;
         /// The last host that the call was sent to. It may have carried out the call.
         std::optional<host_id> lastSentTo;
+        bool isToldOfTakeover = false; ///< The last host that answered did not own the jobs.
         timer_id deadlineTimer = 0;
         timer_id resendTimer = 0;
     };
@@ -87,15 +96,17 @@
     void setReachable(bool isReachable);
     void scheduleRefusals();
     void refuseUnsent();
+    call_wait waitOf(const pending_call &pending) const;
 
     event_loop &m_loop;
     job_call_sender m_sender;
     std::optional<host_id> m_owner;
-    std::optional<instant> m_unreachableSince;
+    policy::owner_contact m_contact;
     bool m_isStopped = false;
     life_tokens m_tokens;
     std::map<scheduler::call_token, pending_call> m_pending;
     job_router_counters m_counters;
+    held_calls m_held;
     timer_id m_refusalTimer = 0;
 };
 
--- /dev/null
+++ b/packages/policy/policy.h
@@ -0,0 +1,9 @@
+/// The public header of the policy library: decisions that need plain values only. They have no
+/// state of the scheduler, no clock and no I/O.
+#ifndef CROCUSWIND_POLICY_POLICY_H
+#define CROCUSWIND_POLICY_POLICY_H
+
+#include "call_patience.h"
+#include "owner_standing.h"
+
+#endif
--- a/packages/scheduler/command_codec.cpp
+++ b/packages/scheduler/command_codec.cpp
@@ -262,7 +262,8 @@
 
 std::string encodeOffer(const relay_offer &offer)
 {
-    return toBytes(json::array({offer.isAvailable, offer.dataCentre.value, offer.milliCores}));
+    return toBytes(json::array(
+        {offer.isAvailable, offer.dataCentre.value, offer.milliCores, offer.makesStoreCalls}));
 }
 
 std::optional<relay_offer> decodeOffer(std::string_view bytes)
@@ -272,6 +273,7 @@
         read(j.at(0), offer.isAvailable);
         offer.dataCentre.value = textAt(j, 1).get<std::string>();
         read(j.at(2), offer.milliCores);
+        offer.makesStoreCalls = j.size() > 3 && j.at(3).get<bool>();
         return offer;
     });
 }
--- a/packages/scheduler/command_codec.h
+++ b/packages/scheduler/command_codec.h
@@ -53,6 +53,7 @@
     bool isAvailable = false;
     data_centre_id dataCentre;
     std::int64_t milliCores = 0; ///< Processors that the host may use, in thousandths of a core.
+    bool makesStoreCalls = true; ///< It can be asked for calls to the store. Earlier builds can't.
 };
 
 std::string encodeCommands(const relayed_commands &batch);
--- a/packages/scheduler/owner_election.cpp
+++ b/packages/scheduler/owner_election.cpp
@@ -39,8 +39,10 @@
     state.ownerRevision = revision;
     const std::optional<owner_info> owner = value ? parseOwner(*value) : std::nullopt;
     state.isOwnerKnown = true;
-    if (owner)
+    if (owner) {
+        state.highestEpoch = std::max(state.highestEpoch, owner->epoch);
         state.confirmations.onEpoch(now, owner->epoch);
+    }
     const bool isSelf = owner && owner->host == state.settings.host;
     if (state.currentStage == election_stage::owner) {
         if (owner && !(isSelf && owner->epoch == state.epoch()))
@@ -57,6 +59,20 @@
     state.updateCandidacy();
 }
 
+bool owner_election::onOwnerNews(instant now, const owner_info &owner)
+{
+    owner_election_state &state = *m_state;
+    state.now = now;
+    if (owner.epoch <= std::max(state.highestEpoch, state.epoch()))
+        return false;
+    state.highestEpoch = owner.epoch;
+    state.depose("other_owner");
+    state.owner = owner;
+    state.ports.onOwner(owner);
+    state.updateCandidacy();
+    return true;
+}
+
 void owner_election::onConfirmationKey(instant now, const std::string &value)
 {
     m_state->now = now;
--- a/packages/scheduler/owner_election.h
+++ b/packages/scheduler/owner_election.h
@@ -109,6 +109,11 @@
     /// exist. \p revision is the store's revision of this state.
     void onOwnerKey(instant now, const std::optional<std::string> &value, std::int64_t revision);
 
+    /// Reports what another host tells of the owner, for a host that the store does not serve.
+    /// Returns false if it is not news: this host knows of this epoch, or of a later one. What the
+    /// store shows later replaces it.
+    bool onOwnerNews(instant now, const owner_info &owner);
+
     /// Reports the value of the confirmation key as read or watched.
     void onConfirmationKey(instant now, const std::string &value);
 
--- a/packages/scheduler/owner_election_state.cpp
+++ b/packages/scheduler/owner_election_state.cpp
@@ -131,6 +131,7 @@
             boundFormerOwner();
         epochKeyWriter.onWritten(result->revision);
         confirmations.onEpoch(now, epoch());
+        highestEpoch = std::max(highestEpoch, epoch());
         owner = owner_info{settings.host, settings.address, epoch()};
         ownerRevision = result->revision;
         currentStage = election_stage::owner;
--- a/packages/scheduler/owner_election_state.h
+++ b/packages/scheduler/owner_election_state.h
@@ -112,6 +112,7 @@
     bool isOwnerKnown = false;
     std::optional<owner_info> owner;
     confirmation_watch confirmations;
+    std::int64_t highestEpoch = 0; ///< Of any owner that this host has heard of.
     std::int64_t ownerRevision = 0; ///< The store's revision when the owner's key was last read.
     std::optional<instant> candidateAt;
 
--- a/packages/scheduler/scheduler.h
+++ b/packages/scheduler/scheduler.h
@@ -13,6 +13,7 @@
 #include "relay_assignment.h"
 #include "scheduler_core.h"
 #include "scheduler_ports.h"
+#include "store_call_codec.h"
 #include "worker_record.h"
 
 #endif
