--- a/test/failure/job_router_test.cpp
+++ b/test/failure/job_router_test.cpp
@@ -58,6 +58,44 @@
     job_router router;
 };
 
+/// A submission at a host whose owner is linked to it but does not answer.
+struct silent_owner : testing::Test
+{
+    silent_owner()
+        : router(loop, random, [this](const host_id &, const job_call &) { return isLinked; })
+    {
+        router.setOwner(owner);
+        router.onHostReachable(owner);
+        submit();
+    }
+
+    void submit()
+    {
+        job_call call;
+        call.kind = job_call_kind::submit;
+        router.call(call, loop.now() + 60s,
+                    [this](const job_reply &reply) { answers.push_back(reply); });
+    }
+
+    bool waitForAnswers(std::size_t count)
+    {
+        return loop.runUntil([&] { return answers.size() == count; }, 20s);
+    }
+
+    void loseLink()
+    {
+        isLinked = false;
+        router.onHostUnreachable(owner);
+    }
+
+    const host_id owner{"host-1"};
+    event_loop loop;
+    seeded_random random{1};
+    bool isLinked = true;
+    std::vector<job_reply> answers;
+    job_router router;
+};
+
 /// Returns the same number each time, so that a test chooses the tokens of a process.
 class fixed_random final : public random_source
 {
@@ -272,3 +310,32 @@
     ASSERT_EQ(answers.size(), 2U);
     EXPECT_EQ(answers[1].outcome, job_outcome::refused);
 }
+
+// Callers of a host that was cut off from the owner and the store waited for their whole time.
+TEST_F(silent_owner, KeepsNoCallerWaitingOnceTheHostIsCutOff)
+{
+    router.setOwnerVisible(false);
+    EXPECT_TRUE(answers.empty()) << "the owner may still answer";
+    loseLink();
+    submit();
+    ASSERT_TRUE(waitForAnswers(2));
+    EXPECT_EQ(answers[0].outcome, job_outcome::no_answer) << "the owner may have carried it out";
+    EXPECT_EQ(answers[1].outcome, job_outcome::refused);
+    EXPECT_GT(answers[1].retryAfterMs, 0);
+    EXPECT_TRUE(policy::refusesCalls(router.contact(), loop.now())) << "the host is not ready";
+    submit();
+    EXPECT_EQ(answers.size(), 3U) << "a new call is refused at once";
+}
+
+// A planned change of the owner takes longer than a host that is cut off waits.
+TEST_F(silent_owner, IsWaitedForByAHostThatSeesItsSuccessorComing)
+{
+    loseLink();
+    submit();
+    router.setOwner(std::nullopt);
+    EXPECT_FALSE(policy::refusesCalls(router.contact(), loop.now() + 2s));
+    router.setOwner(host_id{"host-2"});
+    router.onHostReachable(host_id{"host-2"});
+    EXPECT_FALSE(policy::refusesCalls(router.contact(), loop.now()));
+    EXPECT_TRUE(answers.empty()) << "both calls are sent to the successor";
+}
