Report a watch as lost only after the call that ends its help

An election that deposed its host ended the help of others, whose loss was reported to the election while it was still in that call. A host that withdraws its offer still answers the calls that it has.

--- a/packages/jobs/store_detour.cpp
+++ b/packages/jobs/store_detour.cpp
@@ -275,18 +275,11 @@
     m_helpers.insert(helper);
 }
 
-void store_detour::removeHelper(const host_id &helper)
+void store_detour::withdrawHelper(const host_id &helper)
 {
     m_helpers.erase(helper);
     if (m_lastGood == helper)
         m_lastGood.reset();
-    std::vector<call_number> calls;
-    for (const auto &[id, call] : m_calls) {
-        if (call.helper == helper)
-            calls.push_back(id);
-    }
-    for (call_number id : calls)
-        onHelpFailed(id, store_error::no_answer);
     std::vector<store_watch_id> watches;
     for (const auto &[id, watch] : m_watches) {
         if (watch.helper == helper)
@@ -296,6 +289,18 @@
         loseHelp(id);
 }
 
+void store_detour::removeHelper(const host_id &helper)
+{
+    withdrawHelper(helper);
+    std::vector<call_number> calls;
+    for (const auto &[id, call] : m_calls) {
+        if (call.helper == helper)
+            calls.push_back(id);
+    }
+    for (call_number id : calls)
+        onHelpFailed(id, store_error::no_answer);
+}
+
 // The host that made the last call comes first, then the others in turn.
 std::optional<host_id> store_detour::chooseHelper(const std::set<host_id> &except)
 {
--- a/packages/jobs/store_detour.h
+++ b/packages/jobs/store_detour.h
@@ -47,8 +47,11 @@
     /// Sets whether calls may be made through other hosts, which the owner of the jobs does.
     void setMayAskOthers(bool mayAsk);
 
-    /// The host can be asked, or cannot any more. Calls that it still has count as unanswered.
+    /// The host can be asked from now on.
     void addHelper(const host_id &helper);
+    /// The host is not to be asked any more, but answers the calls that it has.
+    void withdrawHelper(const host_id &helper);
+    /// The host cannot be reached any more. Calls that it still has count as unanswered.
     void removeHelper(const host_id &helper);
 
     /// Handles what a host answers that was asked.
@@ -109,6 +112,7 @@
     void beginHelp(store_watch_id id);
     void retryHelpLater(store_watch_id id);
     void loseHelp(store_watch_id id);
+    bool isShown(store_watch_id id) const;
     void endHelp(watch_state &watch);
     void report(store_watch_id id, const store_watch_update &update);
     void probeHelpers();
--- a/packages/jobs/store_detour_watches.cpp
+++ b/packages/jobs/store_detour_watches.cpp
@@ -149,8 +149,20 @@
         m_lastGood.reset();
     endHelp(found->second);
     retryHelpLater(id);
-    if (wasLive)
-        report(id, lostUpdate());
+    if (!wasLive)
+        return;
+    // Posted, because the user may be about to change what it watches.
+    m_loop.post([this, alive = m_isAlive, id] {
+        if (*alive && !isShown(id))
+            report(id, lostUpdate());
+    });
+}
+
+// Returns true if the watch has ended, or is shown by the store or another host.
+bool store_detour::isShown(store_watch_id id) const
+{
+    const auto found = m_watches.find(id);
+    return found == m_watches.end() || !found->second.isDirectLost || found->second.isHelpLive;
 }
 
 void store_detour::endHelp(watch_state &watch)
--- a/packages/jobs/store_paths.h
+++ b/packages/jobs/store_paths.h
@@ -43,7 +43,7 @@
         if (offer.isAvailable && offer.makesStoreCalls)
             detour.addHelper(peer);
         else
-            detour.removeHelper(peer);
+            detour.withdrawHelper(peer);
     }
 
     void onHostLost(const host_id &peer)
--- a/test/failure/jobs_store_detour_test.cpp
+++ b/test/failure/jobs_store_detour_test.cpp
@@ -264,8 +264,21 @@
     EXPECT_LE(updates.back().asOf, loop.now());
     EXPECT_GT(updates.back().asOf, instant());
 
-    helping->second->isUp = false;
-    detour.removeHelper(helping->first);
+    // An election that ends the ownership must not be called back by its own action.
+    const std::size_t before = updates.size();
+    detour.setMayAskOthers(false);
+    EXPECT_EQ(updates.size(), before);
+    ASSERT_TRUE(isLast(store_watch_update::kind::lost));
+    detour.setMayAskOthers(true);
+    ASSERT_TRUE(isLast(store_watch_update::kind::started));
+
+    const auto helper = std::find_if(hosts.begin(), hosts.end(), [](const auto &entry) {
+        return !entry.second->reached.watches.empty();
+    });
+    ASSERT_NE(helper, hosts.end());
+    helper->second->isUp = false;
+    detour.removeHelper(helper->first);
+    ASSERT_TRUE(isLast(store_watch_update::kind::lost));
     ASSERT_TRUE(isLast(store_watch_update::kind::started));
     direct.now = host_store::mode::serves;
     direct.report(store_watch_update::kind::started);
