Refuse calls at a host that hears neither the owner nor the store

A link that is cut in silence takes calls for 1.6 to 2.1 s before it is closed. A host that has heard neither the owner nor the store for 1.2 s now refuses new calls and is not ready.

--- a/packages/io/peer_link.h
+++ b/packages/io/peer_link.h
@@ -65,6 +65,9 @@
     /// Returns the incarnation of the peer's process, which the peer sent in its handshake.
     const std::string &peerIncarnation() const { return m_peerIncarnation; }
 
+    /// Returns when the last bytes of the peer arrived, or when the link was opened.
+    instant lastReceived() const { return m_lastReceived; }
+
     /// Returns the number of bytes that have not been written to the socket yet.
     std::size_t queuedBytes() const;
 
--- a/packages/io/peer_links.cpp
+++ b/packages/io/peer_links.cpp
@@ -329,6 +329,14 @@
     return m_implementation->send(peer, frame);
 }
 
+std::optional<instant> peer_links::lastReceived(const host_id &peer) const
+{
+    const implementation &i = *m_implementation;
+    if (!i.isUp(peer))
+        return std::nullopt;
+    return i.links.at(i.peers.at(peer).currentLink).connection->lastReceived();
+}
+
 bool peer_links::isUp(const host_id &peer) const
 {
     return m_implementation->isUp(peer);
--- a/packages/io/peer_links.h
+++ b/packages/io/peer_links.h
@@ -100,6 +100,9 @@
     /// Returns whether a link to the peer is usable.
     bool isUp(const host_id &peer) const;
 
+    /// Returns when the last bytes of the peer arrived; nothing without a usable link.
+    std::optional<instant> lastReceived(const host_id &peer) const;
+
     /// Returns the peers with a usable link, sorted by name.
     std::vector<host_id> peersUp() const;
 
--- a/packages/jobs/host_links.cpp
+++ b/packages/jobs/host_links.cpp
@@ -89,6 +89,11 @@
     return m_links.isUp(peer);
 }
 
+std::optional<instant> host_links::lastHeard(const host_id &peer) const
+{
+    return m_links.lastReceived(peer);
+}
+
 std::vector<host_id> host_links::peersUp() const
 {
     return m_links.peersUp();
--- a/packages/jobs/host_links.h
+++ b/packages/jobs/host_links.h
@@ -59,6 +59,9 @@
     /// Returns whether a link to the peer is usable.
     bool isUp(const host_id &peer) const;
 
+    /// Returns when the peer was last heard; nothing without a usable link.
+    std::optional<instant> lastHeard(const host_id &peer) const;
+
     /// Returns the peers with a usable link.
     std::vector<host_id> peersUp() const;
 
--- a/packages/jobs/job_host.cpp
+++ b/packages/jobs/job_host.cpp
@@ -47,7 +47,7 @@
               l, random,
               [this](const host_id &owner, const job_call &call) { return sendCall(owner, call); })
         , links(l, schedulerLog, settings.host, random, linkCallbacks())
-        , contacts(links, settings.host)
+        , contacts(l, links, router, settings.host)
     { }
 
     ~implementation() override
@@ -202,10 +202,7 @@
 
     void onOwner(const std::optional<owner_info> &owner) override
     {
-        schedulerLog.info("event=owner host={} epoch={}", owner ? owner->host.value : "none",
-                          owner ? owner->epoch : 0);
         contacts.setOwner(owner);
-        router.setOwner(owner ? std::optional<host_id>(owner->host) : std::nullopt);
         if (contacts.isElsewhere() && links.isUp(owner->host))
             onLinkUp(owner->host);
     }
@@ -214,8 +211,6 @@
     {
         if (!election.onOwnerNews(loop.now(), owner))
             return;
-        schedulerLog.info("event=owner_news from={} host={} epoch={}", from.value, owner.host.value,
-                          owner.epoch);
         contacts.spread(from, owner);
         scheduleElection();
         scheduleCore();
@@ -408,11 +403,11 @@
         i.loop, i.paths.detour, i.settings.scheduler.keyPrefix,
         owner_watch_callbacks{
             [&i](const std::optional<std::string> &value, std::int64_t revision) {
-                i.router.setOwnerVisible(true);
                 i.election.onOwnerKey(i.loop.now(), value, revision);
                 i.scheduleElection();
             },
             [&i](const std::string &value) { i.election.onConfirmationKey(i.loop.now(), value); },
+            [&i] { i.contacts.onStoreHeard(); },
             [&i] {
                 i.router.setOwnerVisible(false);
                 i.election.onOwnerKeyUnknown(i.loop.now());
--- a/packages/jobs/job_router.cpp
+++ b/packages/jobs/job_router.cpp
@@ -132,6 +132,12 @@
         scheduleRefusals();
 }
 
+void job_router::setSilent(bool isSilent)
+{
+    if (std::exchange(m_contact.isSilent, isSilent) != isSilent && m_contact.unreachableSince)
+        scheduleRefusals();
+}
+
 void job_router::scheduleRefusals()
 {
     m_loop.cancel(m_refusalTimer);
--- a/packages/jobs/job_router.h
+++ b/packages/jobs/job_router.h
@@ -58,6 +58,10 @@
     /// Sets whether this host sees in the store which host owns the jobs.
     void setOwnerVisible(bool isVisible);
 
+    /// Sets whether neither the owner nor the store has been heard for long. New calls are refused
+    /// then: a link that is cut would take them, and their outcome would be unknown.
+    void setSilent(bool isSilent);
+
     /// The connection to \p host has been established, or has been lost.
     void onHostReachable(const host_id &host);
     void onHostUnreachable(const host_id &host);
--- a/packages/jobs/owner_contacts.h
+++ b/packages/jobs/owner_contacts.h
@@ -4,6 +4,7 @@
 #define CROCUSWIND_JOBS_OWNER_CONTACTS_H
 
 #include "host_links.h"
+#include "job_router.h"
 #include "scheduler/scheduler.h"
 
 #include <optional>
@@ -16,15 +17,23 @@
 class owner_contacts
 {
 public:
-    /// \p links must outlive this object.
-    owner_contacts(host_links &links, host_id self);
-
-    /// The owner has changed: links this host to it, and tells the owner before.
+    /// \p links and \p router must outlive this object. The router learns whether this host is
+    /// probably cut off.
+    owner_contacts(event_loop &loop, host_links &links, job_router &router, host_id self);
+    ~owner_contacts();
+    owner_contacts(const owner_contacts &) = delete;
+    owner_contacts &operator=(const owner_contacts &) = delete;
+
+    /// The owner has changed: links this host to it, tells the owner before, and has the router
+    /// send calls there.
     void setOwner(const std::optional<scheduler::owner_info> &owner);
 
     /// Passes on what the host \p from has told, and this host did not know.
     void spread(const host_id &from, const scheduler::owner_info &owner);
 
+    /// The store has shown this host who the owner is.
+    void onStoreHeard();
+
     /// Returns the owner; empty if no host owns the jobs.
     const host_id &owner() const { return m_owner; }
 
@@ -32,10 +41,19 @@
     bool isElsewhere() const { return !m_owner.empty() && m_owner != m_self; }
 
 private:
+    void checkSilence();
+    bool isSilentNow() const;
+
+    event_loop &m_loop;
     host_links &m_links;
+    job_router &m_router;
+    logger m_log{"scheduler"};
     host_id m_self;
     host_id m_owner;
     host_id m_formerOwner;
+    instant m_storeHeardAt;
+    bool m_wasSilent = false; ///< At the last check.
+    timer_id m_timer = 0;
 };
 
 } // namespace crocuswind
--- a/packages/jobs/owner_watch.cpp
+++ b/packages/jobs/owner_watch.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-// The store reports that the owner's key is unchanged after this time without a change.
-constexpr duration ownerWatchMaxSilence = 1500ms;
+// The store reports that the owner's key is unchanged after this time without a change. While there
+// is an owner, it confirms itself more often.
+constexpr duration ownerWatchMaxSilence = 900ms;
 
 } // namespace
 
@@ -21,12 +22,11 @@
 {
     m_mirror = std::make_unique<prefix_mirror>(
         loop, source, m_ownerKey, ownerWatchMaxSilence,
-        prefix_mirror_callbacks{[this](const std::string &key,
-                                       const std::optional<std::string> &value,
-                                       std::int64_t revision) { onChange(key, value, revision); },
-                                [this](std::int64_t revision) { reportOwnerKey(revision); },
-                                {},
-                                [this] { m_callbacks.lost(); }});
+        prefix_mirror_callbacks{
+            [this](const std::string &key, const std::optional<std::string> &value,
+                   std::int64_t revision) { onChange(key, value, revision); },
+            [this](std::int64_t revision) { reportOwnerKey(revision); },
+            [this](instant) { m_callbacks.heard(); }, [this] { m_callbacks.lost(); }});
 }
 
 void owner_watch::onChange(const std::string &key, const std::optional<std::string> &value,
--- a/packages/jobs/owner_watch.h
+++ b/packages/jobs/owner_watch.h
@@ -21,6 +21,8 @@
     std::function<void(const std::optional<std::string> &value, std::int64_t revision)> ownerKey;
     /// The confirmation key was written.
     std::function<void(const std::string &value)> confirmationKey;
+    /// The store has answered: the state of both keys is as reported.
+    std::function<void()> heard;
     /// The watch was lost: the state of the keys is unknown until `ownerKey` is called again.
     std::function<void()> lost;
 };
--- a/packages/policy/call_patience.cpp
+++ b/packages/policy/call_patience.cpp
@@ -13,6 +13,9 @@
 /// A link to the owner that was only reset is back within this time.
 constexpr duration relinkTime = 400ms;
 
+/// More than twice the time between two signs of life of either.
+constexpr duration silenceLimit = 1200ms;
+
 /// Another host can serve a caller of one that is cut off at once. The others come back when an
 /// owner should have been found, spread over this time.
 constexpr std::int64_t shortestRetryMs = 1000;
@@ -23,15 +26,22 @@
 
 } // namespace
 
+bool isSilent(instant now, instant ownerHeardAt, instant storeHeardAt)
+{
+    return now - std::max(ownerHeardAt, storeHeardAt) > silenceLimit;
+}
+
 bool isCutOff(const owner_contact &contact)
 {
-    return contact.unreachableSince && contact.blindSince;
+    return contact.isSilent || (contact.unreachableSince && contact.blindSince);
 }
 
 instant patienceEnd(const owner_contact &contact)
 {
     const instant since = *contact.unreachableSince;
     const instant changed = since + ownerChangeTime;
+    if (contact.isSilent)
+        return since;
     if (!isCutOff(contact))
         return changed;
     return std::min(changed, std::max(since + relinkTime, *contact.blindSince));
@@ -39,7 +49,7 @@
 
 bool refusesCalls(const owner_contact &contact, instant now)
 {
-    return contact.unreachableSince && now >= patienceEnd(contact);
+    return contact.isSilent || (contact.unreachableSince && now >= patienceEnd(contact));
 }
 
 std::int64_t retryAfterMs(const owner_contact &contact, std::uint64_t number)
--- a/packages/policy/call_patience.h
+++ b/packages/policy/call_patience.h
@@ -19,13 +19,22 @@
     /// Since when this host has not seen in the store who the owner is; nothing if it sees it. A
     /// host that sees neither the owner nor the store is cut off, and doesn't learn of a new owner.
     std::optional<instant> blindSince;
+    /// Neither the owner nor the store has been heard for too long (isSilent()), though the link to
+    /// the owner still stands.
+    bool isSilent = false;
 
     friend bool operator==(const owner_contact &a, const owner_contact &b)
     {
-        return a.unreachableSince == b.unreachableSince && a.blindSince == b.blindSince;
+        return a.unreachableSince == b.unreachableSince && a.blindSince == b.blindSince
+            && a.isSilent == b.isSilent;
     }
 };
 
+/// Returns true if a host that last heard of the owner's host and of the store at these times is
+/// probably cut off. Links carry a ping each 500 ms; an owner confirms itself in the store as
+/// often, and without one a watch of its key is answered each 900 ms.
+bool isSilent(instant now, instant ownerHeardAt, instant storeHeardAt);
+
 /// Returns true if this host sees neither the owner nor the store.
 bool isCutOff(const owner_contact &contact);
 
--- a/test/correctness/policy_call_patience_test.cpp
+++ b/test/correctness/policy_call_patience_test.cpp
@@ -37,6 +37,20 @@
     EXPECT_TRUE(refusesCalls(contactOf(lost, lost + 600ms), lost + 600ms));
 }
 
+// The link to an owner that is cut takes calls until it is closed.
+TEST(call_patience, IsNoneAtAHostThatHearsNeitherTheOwnerNorTheStore)
+{
+    EXPECT_FALSE(isSilent(lost + 1s, lost, lost));
+    EXPECT_TRUE(isSilent(lost + 2s, lost, lost));
+    EXPECT_FALSE(isSilent(lost + 2s, lost, lost + 1s)) << "the owner has died, or its host";
+    EXPECT_FALSE(isSilent(lost + 2s, lost + 1s, lost)) << "the store is down, or refuses this host";
+    owner_contact contact = contactOf(std::nullopt, std::nullopt);
+    contact.isSilent = true;
+    EXPECT_TRUE(refusesCalls(contact, lost));
+    contact.unreachableSince = lost;
+    EXPECT_EQ(patienceEnd(contact), lost);
+}
+
 TEST(call_patience, HasNoEndWhileTheOwnerIsReached)
 {
     EXPECT_FALSE(refusesCalls(contactOf(std::nullopt, lost), lost + 60s));
