--- a/packages/jobs/job_router.cpp
+++ b/packages/jobs/job_router.cpp
@@ -134,8 +134,12 @@
 
 void job_router::setSilent(bool isSilent)
 {
-    if (std::exchange(m_contact.isSilent, isSilent) != isSilent && m_contact.unreachableSince)
+    if (std::exchange(m_contact.isSilent, isSilent) == isSilent)
+        return;
+    if (m_contact.unreachableSince)
         scheduleRefusals();
+    else if (isSilent)
+        refuseUnsent();
 }
 
 void job_router::scheduleRefusals()
@@ -151,7 +155,8 @@
 {
     std::vector<call_token> waiting;
     for (const auto &[token, pending] : m_pending) {
-        if (!pending.lastSentTo || !isMutation(pending.call) || policy::isCutOff(m_contact))
+        const bool isLinkLost = m_contact.unreachableSince && policy::isCutOff(m_contact);
+        if (!pending.lastSentTo || !isMutation(pending.call) || isLinkLost)
             waiting.push_back(token);
     }
     for (call_token token : waiting)
--- a/test/failure/job_router_test.cpp
+++ b/test/failure/job_router_test.cpp
@@ -327,6 +327,23 @@
     EXPECT_EQ(answers.size(), 3U) << "a new call is refused at once";
 }
 
+// A link that is cut in silence took calls until it was closed.
+TEST_F(silent_owner, IsSentNoCallWhileNothingIsHeard)
+{
+    job_call query;
+    query.kind = job_call_kind::query;
+    router.call(query, loop.now() + 60s, [this](const job_reply &r) { answers.push_back(r); });
+    router.setSilent(true);
+    ASSERT_EQ(answers.size(), 1U) << "the query; the submission may have been carried out";
+    EXPECT_EQ(answers[0].outcome, job_outcome::refused);
+    submit();
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers[1].outcome, job_outcome::refused);
+    router.setSilent(false);
+    submit();
+    EXPECT_EQ(answers.size(), 2U) << "the owner is heard again";
+}
+
 // A planned change of the owner takes longer than a host that is cut off waits.
 TEST_F(silent_owner, IsWaitedForByAHostThatSeesItsSuccessorComing)
 {
