Let no call wait at a host that sees only a former owner

An owner that was cut off together with hosts around it ended its office, but still answered them, and they sent each call to it again until its time was over. After a second of such answers, and while the store shows no other owner, calls end at once and the host is not ready.

--- a/packages/jobs/job_router.cpp
+++ b/packages/jobs/job_router.cpp
@@ -128,6 +128,7 @@
     if (isVisible == !m_contact.blindSince)
         return;
     m_contact.blindSince = isVisible ? std::nullopt : std::optional<instant>(m_loop.now());
+    m_contact.disownedSince.reset();
     if (m_contact.unreachableSince)
         scheduleRefusals();
 }
@@ -177,6 +178,7 @@
     if (m_owner == owner)
         return;
     m_owner = owner;
+    m_contact.disownedSince.reset();
     for (auto &[token, pending] : m_pending)
         pending.awaitingReplyFrom.reset();
     setReachable(false);
@@ -216,12 +218,20 @@
     if (reportsNoEffect(reply.outcome) && pending.lastSentTo != from)
         return;
     if (reply.outcome != job_outcome::not_owner) {
+        if (from == m_owner)
+            m_contact.disownedSince.reset();
         finish(reply.token, reply);
         return;
     }
     if (pending.awaitingReplyFrom != from)
         return;
     const call_token token = reply.token;
+    if (!m_contact.disownedSince)
+        m_contact.disownedSince = m_loop.now();
+    if (policy::isDisowned(m_contact, m_loop.now())) {
+        onDeadline(token);
+        return;
+    }
     pending.isToldOfTakeover = true;
     m_loop.cancel(pending.resendTimer);
     pending.resendTimer = m_loop.callAt(m_loop.now() + notOwnerRetryInterval, [this, token] {
--- a/packages/policy/call_patience.cpp
+++ b/packages/policy/call_patience.cpp
@@ -16,6 +16,9 @@
 /// More than twice the time between two signs of life of either.
 constexpr duration silenceLimit = 1200ms;
 
+/// A new owner has read the records within this time.
+constexpr duration takeoverTime = 1s;
+
 /// Another host can serve a caller of one that is cut off at once. The others come back when an
 /// owner should have been found, spread over this time.
 constexpr std::int64_t shortestRetryMs = 1000;
@@ -52,6 +55,12 @@
     return contact.isSilent || (contact.unreachableSince && now >= patienceEnd(contact));
 }
 
+bool isDisowned(const owner_contact &contact, instant now)
+{
+    return contact.blindSince && contact.disownedSince
+        && now - *contact.disownedSince >= takeoverTime;
+}
+
 std::int64_t retryAfterMs(const owner_contact &contact, std::uint64_t number)
 {
     if (isCutOff(contact))
--- a/packages/policy/call_patience.h
+++ b/packages/policy/call_patience.h
@@ -22,11 +22,13 @@
     /// Neither the owner nor the store has been heard for too long (isSilent()), though the link to
     /// the owner still stands.
     bool isSilent = false;
+    /// Since when the owner's host answers that it does not own the jobs, or not yet.
+    std::optional<instant> disownedSince;
 
     friend bool operator==(const owner_contact &a, const owner_contact &b)
     {
         return a.unreachableSince == b.unreachableSince && a.blindSince == b.blindSince
-            && a.isSilent == b.isSilent;
+            && a.isSilent == b.isSilent && a.disownedSince == b.disownedSince;
     }
 };
 
@@ -46,6 +48,11 @@
 /// Returns true if this host would refuse a call that arrives at \p now, so that it is not ready.
 bool refusesCalls(const owner_contact &contact, instant now);
 
+/// Returns true if the owner's host has not owned the jobs for longer than a takeover lasts, and
+/// this host does not see in the store who owns them instead. Calls are still sent, since an answer
+/// shows when that ends, but no call waits, and the host is not ready.
+bool isDisowned(const owner_contact &contact, instant now);
+
 /// Returns the delay in milliseconds after which a refused caller may come back. \p number differs
 /// from call to call, and spreads the callers.
 std::int64_t retryAfterMs(const owner_contact &contact, std::uint64_t number);
--- a/test/correctness/policy_call_patience_test.cpp
+++ b/test/correctness/policy_call_patience_test.cpp
@@ -56,6 +56,17 @@
     EXPECT_FALSE(refusesCalls(contactOf(std::nullopt, lost), lost + 60s));
 }
 
+// A former owner that is cut off together with other hosts still answers them.
+TEST(call_patience, EndsWhenAFormerOwnerIsAllThatAHostSees)
+{
+    owner_contact contact = contactOf(std::nullopt, lost);
+    contact.disownedSince = lost;
+    EXPECT_FALSE(isDisowned(contact, lost + 500ms)) << "a takeover";
+    EXPECT_TRUE(isDisowned(contact, lost + 1s));
+    contact.blindSince.reset();
+    EXPECT_FALSE(isDisowned(contact, lost + 60s)) << "the store will show the next owner";
+}
+
 TEST(call_patience, SpreadsTheCallersThatItSendsAway)
 {
     const owner_contact contact = contactOf(lost, std::nullopt);
