--- a/test/fuzz/scheduler_codec_fuzz_test.cpp
+++ b/test/fuzz/scheduler_codec_fuzz_test.cpp
@@ -210,3 +210,35 @@
         decodeOffer(bytes);
     }
 }
+
+// Peers of another build may send anything in the frames of store calls.
+TEST(SchedulerCodecFuzz, StoreCallsBetweenHostsNeverCrash)
+{
+    store_transaction transaction;
+    transaction.compares.push_back({"cw/epoch", store_compare::property::mod_revision, 7, {}});
+    transaction.puts.push_back({"cw/job/1", std::string("\xff\0x", 3), 5});
+    transaction.deletes.push_back({"cw/job/2"});
+    store_reply reply;
+    reply.entries.push_back({"cw/epoch", "1 2 a", 3, 4, 5, 6});
+    helped_watch_update update{4, helped_watch_update::kind::changed, 9, {}, 3};
+    update.changes.push_back({true, reply.entries.front()});
+    const std::string samples[]
+        = {encodeStoreCall({1, 500, store_operation(transaction)}),
+           encodeStoreCall({2, 500, store_operation(store_lease_renewal{5})}),
+           encodeStoreCall({3, 0, store_watch_request{"servers/", 400}}),
+           encodeStoreHelp(helped_store_result{1, reply}),
+           encodeStoreHelp(update),
+           encodeOwnerNews({{"a"}, "127.0.0.1:1", 3})};
+    const auto decoded = decodeStoreCall(samples[0]);
+    ASSERT_TRUE(decoded.has_value());
+    const auto &same = std::get<store_transaction>(std::get<store_operation>(decoded->what));
+    EXPECT_EQ(same.puts.at(0).value, transaction.puts.at(0).value);
+    EXPECT_EQ(same.compares.at(0).number, 7);
+    seeded_random random(20261207);
+    for (int i = 0; i < 20000; ++i) {
+        const std::string bytes = mutate(samples[std::size_t(i) % std::size(samples)], random);
+        decodeStoreCall(bytes);
+        decodeStoreHelp(bytes);
+        decodeOwnerNews(bytes);
+    }
+}
