--- a/test/failure/scheduler_departed_worker.h
+++ b/test/failure/scheduler_departed_worker.h
@@ -33,6 +33,14 @@
         return spec;
     }
 
+    // The first owner learns that the worker is about to leave.
+    void drain(fake_worker &worker)
+    {
+        worker.info.isDraining = true;
+        first.core.onWorker(world.now, worker.info);
+        first.scheduleTick();
+    }
+
     // Returns the first worker that runs a task.
     fake_worker &firstBusyWorker()
     {
--- a/test/failure/scheduler_departed_worker_test.cpp
+++ b/test/failure/scheduler_departed_worker_test.cpp
@@ -29,9 +29,7 @@
     const job_spec spec = submit(first, "a", 8, true);
     world.run(500ms);
     fake_worker &leaving = firstBusyWorker();
-    leaving.info.isDraining = true;
-    first.core.onWorker(world.now, leaving.info);
-    first.scheduleTick();
+    drain(leaving);
     world.run(2s);
     ASSERT_TRUE(leaving.runs.empty());
     first.isDead = true;
@@ -57,9 +55,7 @@
     const job_spec spec = submit(first, "a", 8, true);
     world.run(500ms);
     fake_worker &leaving = firstBusyWorker();
-    leaving.info.isDraining = true;
-    first.core.onWorker(world.now, leaving.info);
-    first.scheduleTick();
+    drain(leaving);
     world.run(2s);
     ASSERT_TRUE(leaving.runs.empty());
     // A task ends on another worker without an owner to see it.
@@ -83,9 +79,7 @@
 {
     world.runTime = [](const task_name &) { return 1000s; };
     fake_worker &worker = world.workers.at({"w0"});
-    worker.info.isDraining = true;
-    first.core.onWorker(world.now, worker.info);
-    first.scheduleTick();
+    drain(worker);
     world.run(500ms);
     first.isDead = true;
     worker.info.isDraining = false;
@@ -111,9 +105,7 @@
     const job_spec spec = submit(first, "a", 16, false);
     world.run(500ms);
     fake_worker &draining = firstBusyWorker();
-    draining.info.isDraining = true;
-    first.core.onWorker(world.now, draining.info);
-    first.scheduleTick();
+    drain(draining);
     world.run(500ms);
     first.isDead = true;
     second.unreachableWorkers = {draining.info.id};
@@ -271,9 +263,7 @@
     const job_spec spec = submit(first, "a", 8, true);
     world.run(500ms);
     fake_worker &leaving = firstWorkerOf(finite);
-    leaving.info.isDraining = true;
-    first.core.onWorker(world.now, leaving.info);
-    first.scheduleTick();
+    drain(leaving);
     world.run(500ms);
     ASSERT_FALSE(leaving.runs.empty());
     std::string tasks;
--- a/test/failure/scheduler_unanswered_incarnation.h
+++ b/test/failure/scheduler_unanswered_incarnation.h
@@ -26,12 +26,42 @@
         world.run(60s); // Deadlines on its clock lie far ahead of the clock of a later life.
     }
 
+    // Submits the job to the owner while the worker, which goes dark first, cannot answer.
+    void submitWhileDown(const job_spec &spec)
+    {
+        worker.isUp = false;
+        owner.call(job_call_kind::submit, spec.name, &spec);
+    }
+
+    // No host reaches the worker any more.
+    void cutWorkerOff()
+    {
+        owner.unreachableWorkers.insert(worker.info.id);
+        next.unreachableWorkers.insert(worker.info.id);
+    }
+
+    // The worker carries out commands some 11 s after they were sent.
+    void executeLate(const std::vector<std::function<void()>> &commands)
+    {
+        world.at(world.now + 8s, [commands] {
+            for (const auto &execute : commands)
+                execute();
+        });
+    }
+
+    // The second host takes over, with another worker that has room.
+    void takeOverBesideAnotherWorker()
+    {
+        world.run(electionTime);
+        world.addWorker("w1", "rack-1", {8000, 8000, 0});
+        world.takeOver(next);
+    }
+
     // The worker goes dark, is sent a start, and is back as another life, which carries that out.
     // The owner dies before it hears of that life, and the worker is cut off.
     void loseOwnerAndWorker(const job_spec &spec)
     {
-        worker.isUp = false;
-        owner.call(job_call_kind::submit, spec.name, &spec);
+        submitWhileDown(spec);
         world.run(400ms);
         world.restartWorker(worker);
         ASSERT_EQ(worker.runs.size(), 1U);
--- a/test/failure/scheduler_unanswered_incarnation_test.cpp
+++ b/test/failure/scheduler_unanswered_incarnation_test.cpp
@@ -169,21 +169,16 @@
 // The owner knows what it has sent to the worker, and dies once that is stored.
 TEST_F(unanswered_incarnation, AStartThatItsSenderStoredIsAwaitedByTheNextOwner)
 {
-    const job_spec spec = plainJob("a", 1);
-    worker.isUp = false;
-    owner.call(job_call_kind::submit, spec.name, &spec);
+    submitWhileDown(plainJob("a", 1));
     world.run(900ms);
     world.restartWorker(worker);
     ASSERT_EQ(worker.runs.size(), 1U);
     worker.reachesStore = false;
-    owner.unreachableWorkers.insert(worker.info.id);
-    next.unreachableWorkers.insert(worker.info.id);
+    cutWorkerOff();
     world.run(2500ms); // Polls fail, and the list names the worker as silent.
     ASSERT_NE(std::count(owner.events.begin(), owner.events.end(), "silent_workers_stored"), 0);
     owner.isDead = true;
-    world.run(electionTime);
-    world.addWorker("w1", "rack-1", {8000, 8000, 0});
-    world.takeOver(next);
+    takeOverBesideAnotherWorker();
     world.run(40s);
     EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 2);
     EXPECT_EQ(world.violations, std::vector<std::string>());
@@ -198,9 +193,7 @@
     owner.call(job_call_kind::submit, spec.name, &spec);
     world.run(500ms);
     owner.isDead = true;
-    world.run(electionTime);
-    world.addWorker("w1", "rack-1", {8000, 8000, 0});
-    world.takeOver(next);
+    takeOverBesideAnotherWorker();
     world.run(7s);
     EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 1);
 }
@@ -286,23 +279,15 @@
 // An entry of service discovery names a later life, which has answered nobody.
 TEST_F(unanswered_incarnation, AnEntryOfItsNextLifeEndsNoWait)
 {
-    const job_spec spec = plainJob("a", 1);
-    worker.isUp = false;
-    owner.call(job_call_kind::submit, spec.name, &spec);
+    submitWhileDown(plainJob("a", 1));
     world.run(3300ms);
     ASSERT_NE(std::count(owner.events.begin(), owner.events.end(), "silent_workers_stored"), 0);
     const auto held = std::exchange(worker.heldCommands, {});
-    owner.unreachableWorkers.insert(worker.info.id);
-    next.unreachableWorkers.insert(worker.info.id);
+    cutWorkerOff();
     owner.isDead = true;
     world.restartWorker(worker);
-    world.at(world.now + 8s, [this, held] { // Carried out about 11 s after they were sent.
-        for (const auto &execute : held)
-            execute();
-    });
-    world.run(electionTime);
-    world.addWorker("w1", "rack-1", {8000, 8000, 0});
-    world.takeOver(next);
+    executeLate(held);
+    takeOverBesideAnotherWorker();
     world.run(40s);
     EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 2);
     EXPECT_EQ(world.violations, std::vector<std::string>());
@@ -311,23 +296,15 @@
 // The same late start where the entry does not reach the next owner.
 TEST_F(unanswered_incarnation, AStartThatItsSenderStoredIsAwaitedThoughItIsCarriedOutLate)
 {
-    const job_spec spec = plainJob("a", 1);
-    worker.isUp = false;
-    owner.call(job_call_kind::submit, spec.name, &spec);
+    submitWhileDown(plainJob("a", 1));
     world.run(3300ms);
     const auto held = std::exchange(worker.heldCommands, {});
-    owner.unreachableWorkers.insert(worker.info.id);
-    next.unreachableWorkers.insert(worker.info.id);
+    cutWorkerOff();
     worker.reachesStore = false;
     owner.isDead = true;
     world.restartWorker(worker);
-    world.at(world.now + 8s, [this, held] {
-        for (const auto &execute : held)
-            execute();
-    });
-    world.run(electionTime);
-    world.addWorker("w1", "rack-1", {8000, 8000, 0});
-    world.takeOver(next);
+    executeLate(held);
+    takeOverBesideAnotherWorker();
     world.run(40s);
     EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 2);
     EXPECT_EQ(world.violations, std::vector<std::string>());
@@ -336,15 +313,12 @@
 // The list is of an earlier build, which names silent workers but no unanswered runs.
 TEST_F(unanswered_incarnation, AStartThatAnEarlierBuildStoredIsAwaited)
 {
-    const job_spec spec = plainJob("a", 1);
-    worker.isUp = false;
-    owner.call(job_call_kind::submit, spec.name, &spec);
+    submitWhileDown(plainJob("a", 1));
     world.run(900ms);
     world.restartWorker(worker);
     ASSERT_EQ(worker.runs.size(), 1U);
     worker.reachesStore = false;
-    owner.unreachableWorkers.insert(worker.info.id);
-    next.unreachableWorkers.insert(worker.info.id);
+    cutWorkerOff();
     world.run(2500ms);
     owner.isDead = true;
     for (auto &[key, text] : world.store) {
@@ -352,9 +326,7 @@
              begin = text.find(" unanswered/"))
             text.erase(begin, text.find('\n', begin) + 1 - begin);
     }
-    world.run(electionTime);
-    world.addWorker("w1", "rack-1", {8000, 8000, 0});
-    world.takeOver(next);
+    takeOverBesideAnotherWorker();
     world.run(40s);
     EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 2);
     EXPECT_EQ(world.violations, std::vector<std::string>());
@@ -363,9 +335,7 @@
 // A time that cannot be read counts as an hour; no run can last that long.
 TEST_F(unanswered_incarnation, AMalformedTimeDelaysNoTaskForAnHour)
 {
-    const job_spec spec = plainJob("a", 1);
-    worker.isUp = false;
-    owner.call(job_call_kind::submit, spec.name, &spec);
+    submitWhileDown(plainJob("a", 1));
     world.run(3400ms);
     owner.isDead = true;
     for (auto &[key, text] : world.store) {
@@ -374,9 +344,7 @@
         if (begin != std::string::npos)
             text.insert(begin + prefix.size(), "x");
     }
-    world.run(electionTime);
-    world.addWorker("w1", "rack-1", {8000, 8000, 0});
-    world.takeOver(next);
+    takeOverBesideAnotherWorker();
     world.run(60s);
     EXPECT_EQ((world.starts[{{"a"}, 0, 0, 0}]), 1);
 }
@@ -384,9 +352,7 @@
 // The worker was leaving when its owner was lost: its tasks are known, but not until when they run.
 TEST_F(unanswered_incarnation, AStartThatALeavingWorkerCarriesOutIsAwaited)
 {
-    const job_spec spec = plainJob("a", 1);
-    worker.isUp = false;
-    owner.call(job_call_kind::submit, spec.name, &spec);
+    submitWhileDown(plainJob("a", 1));
     world.run(300ms);
     worker.info.isDraining = true;
     owner.core.onWorker(world.now, worker.info);
