--- a/test/standin/platform_process.cpp
+++ b/test/standin/platform_process.cpp
@@ -11,7 +11,7 @@
 namespace crocuswind::standin {
 
 platform_process::platform_process(event_loop &loop, std::string name, const std::string &store,
-                                   std::string program)
+                                   std::string program, const std::string &furtherSettings)
     : m_name(std::move(name))
     , m_program(std::move(program))
     , m_callers{"127.0.0.1", std::uint16_t(freePort(loop))}
@@ -22,8 +22,8 @@
     const int peers = freePort(loop);
     std::ofstream(m_settings) << fmt::format(
         "node={}\nip=127.0.0.1\nzone=a\nlisten.front={}\nlisten.ready={}\nportRange={},{}\n"
-        "platform.address={}\nlimits.cpuShare=1\nbounds.holdMaxMs=10000\n",
-        m_name, toString(m_callers), toString(m_ready), peers, peers + 1, store);
+        "platform.address={}\nlimits.cpuShare=1\nbounds.holdMaxMs=10000\n{}",
+        m_name, toString(m_callers), toString(m_ready), peers, peers + 1, store, furtherSettings);
 }
 
 platform_process::~platform_process()
--- a/test/standin/platform_process.h
+++ b/test/standin/platform_process.h
@@ -16,9 +16,9 @@
 {
 public:
     /// \p store is the address of the platform's store, `ip:port`. \p program is the path of the
-    /// entry host's program.
+    /// entry host's program. \p furtherSettings are lines that are added to the settings file.
     platform_process(event_loop &loop, std::string name, const std::string &store,
-                     std::string program);
+                     std::string program, const std::string &furtherSettings = {});
     ~platform_process();
     platform_process(const platform_process &) = delete;
     platform_process &operator=(const platform_process &) = delete;
@@ -29,6 +29,12 @@
     /// Kills the process if it runs, and waits until it is gone.
     void kill();
 
+    /// Returns the identifier of the process, which must have been started.
+    pid_t id() const { return m_process->id(); }
+
+    /// Returns whether the process has ended by itself.
+    bool hasEnded() const { return m_process->hasEnded(); }
+
     /// Stops and resumes the process (SIGSTOP, SIGCONT).
     void pause() const;
     void resume() const;
