Bound what connections hold and close the heaviest

The answers themselves do not pile up. Chunk size lines had no bound either, on both sides, and the two servers of a host could take all its descriptors. Change: a connection that holds 20 KB unread beside an unsent answer is not read until the answer is taken; one large request at a time may exceed that while all together stay under a share of the memory; beyond it the heaviest are closed; at the limit of connections the longest idle make way. Not run with sanitizers.

--- a/packages/crocuswindd/entry_host.cpp
+++ b/packages/crocuswindd/entry_host.cpp
@@ -26,6 +26,13 @@
     return settings;
 }
 
+http_server_settings serverSettings()
+{
+    http_server_settings settings;
+    settings.name = "callers";
+    return settings;
+}
+
 etcd_store_settings storeSettings(const daemon_settings &settings)
 {
     etcd_store_settings result;
@@ -60,9 +67,9 @@
     , m_cluster(m_context, clusterCallbacks())
     , m_requests(m_context, requestCallbacks())
     , m_batch(m_context, batchCallbacks())
-    , m_server(
-          loop, http_server_settings{},
-          [this](http_request request, http_responder responder) { handle(request, responder); })
+    , m_server(loop, serverSettings(), [this](http_request request, http_responder responder) {
+        handle(request, responder);
+    })
 {
     describeMetrics(m_metrics);
 }
@@ -303,6 +310,7 @@
 void entry_host::answerMetrics(const http_responder &responder)
 {
     setGauges(m_metrics, pageSources());
+    setConnectionMetrics(m_metrics, m_server);
     responder.answer({200, metricsContentType, {}, m_metrics.text()});
 }
 
--- a/packages/io/http_connection.cpp
+++ b/packages/io/http_connection.cpp
@@ -19,8 +19,9 @@
 // Added to evhttp's own timeout, so that the client's timers always fire first.
 constexpr duration timeoutMargin = 5s;
 
-// Buffer space for chunk sizes and the header, in addition to one object of a stream.
-constexpr std::size_t streamBufferMargin = 64 * 1024;
+// Buffer space for chunk sizes and the header, in addition to the body of an answer or one object
+// of a stream.
+constexpr std::size_t bufferMargin = 64 * 1024;
 
 void onOutput(evbuffer *, const evbuffer_cb_info *info, void *argument)
 {
@@ -34,11 +35,18 @@
     c->currentCall->bytesSent = true;
 }
 
-void onInput(evbuffer *, const evbuffer_cb_info *info, void *argument)
+// evhttp bounds the header and the body of an answer, but not what it cannot parse yet, such as a
+// chunk size without an end. The end of the connection ends the call. A read watermark would not
+// do: libevent calls evhttp again and again while the input stays at the watermark.
+void onInput(evbuffer *input, const evbuffer_cb_info *info, void *argument)
 {
     auto *c = static_cast<http_connection *>(argument);
-    if (c->currentCall != nullptr)
-        c->currentCall->receivedBytes += info->n_added;
+    if (c->currentCall == nullptr)
+        return;
+    c->currentCall->receivedBytes += info->n_added;
+    const std::size_t maxUnread = c->currentCall->call.maxAnswerBytes + bufferMargin;
+    if (c->ownerPool != nullptr && evbuffer_get_length(input) > maxUnread)
+        shutdown(bufferevent_getfd(c->socket()), SHUT_RDWR);
 }
 
 // evhttp installs its own callbacks again once the socket is connected.
@@ -128,7 +136,7 @@
     evhttp_connection_set_max_body_size(evhttpConnection,
                                         isStream ? -1 : ev_ssize_t(call.maxAnswerBytes));
     if (isStream)
-        bufferevent_setwatermark(socket(), EV_READ, 0, call.maxAnswerBytes + streamBufferMargin);
+        bufferevent_setwatermark(socket(), EV_READ, 0, call.maxAnswerBytes + bufferMargin);
 
     evhttp_request *request = evhttp_request_new(onDone, this);
     evhttp_request_set_header_cb(request, onHeader);
--- a/packages/io/http_server.cpp
+++ b/packages/io/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "evhttp_helpers.h"
 #include "libevent_time.h"
+#include "server_connections.h"
 #include "socket_address.h"
 #include "socket_throughput.h"
 
@@ -16,7 +17,6 @@
 #include <netinet/tcp.h>
 #include <set>
 #include <sys/socket.h>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -24,8 +24,11 @@
 
 namespace {
 
-constexpr duration sweepInterval = 1s;
-constexpr duration sweepIntervalWhenFull = 100ms;
+/// Added to evhttp's own timeout, so that the server's deadlines always expire first.
+constexpr duration timeoutMargin = 5s;
+
+/// Memory of a header field beside its text.
+constexpr std::size_t headerFieldBytes = 128;
 
 // Returns whether a request has more than one content-length or transfer-encoding field. Servers
 // disagree on the length of such a request, which allows request smuggling behind a shared load
@@ -38,6 +41,22 @@
     return lengths > 1;
 }
 
+// Returns the memory that a request takes while it is being processed, in bytes.
+std::size_t sizeOf(const http_request &request)
+{
+    std::size_t size = request.path.size() + request.query.size() + request.body.size();
+    for (const http_header &h : request.headers)
+        size += h.name.size() + h.value.size() + headerFieldBytes;
+    return size;
+}
+
+http_server_settings withConsistentLimits(http_server_settings settings)
+{
+    settings.limits = crocuswind::admittingRequests(settings.limits, settings.maxHeaderBytes,
+                                                    settings.maxBodyBytes);
+    return settings;
+}
+
 } // namespace
 
 struct http_responder::state
@@ -54,27 +73,11 @@
 
 struct http_server::implementation
 {
-    // State of one connection. evhttp does not report that a connection was opened, nor that it was
-    // closed before its first request reached the handler, for instance because evhttp answered the
-    // request itself. The server therefore creates the bufferevent of each connection and keeps a
-    // reference to it: when evhttp frees the bufferevent, its callbacks are cleared. The
-    // bufferevent also owns the descriptor. If evhttp closed it, the loop would still watch the
-    // closed descriptor until the reference is dropped, and would not watch the next connection
-    // that has the same descriptor.
-    struct server_connection
-    {
-        implementation *server = nullptr;
-        bufferevent *socket = nullptr;
-        instant waitingSince; ///< When it was accepted or last answered; start of the idle timeout.
-        bool hasRequest = false;
-        bool hasReachedHandler = false; ///< evhttp reports its end from then on.
-        bool isCheckDue = false;
-    };
-
     implementation(event_loop &l, http_server_settings s, handler h)
         : loop(l)
-        , settings(std::move(s))
+        , settings(withConsistentLimits(std::move(s)))
         , handle(std::move(h))
+        , connections(l, settings, [this] { updateListeners(); })
         , http(evhttp_new(l.base()))
     {
         CROCUSWIND_INVARIANT(http != nullptr, "evhttp_new failed");
@@ -82,7 +85,7 @@
         evhttp_set_max_body_size(http, ev_ssize_t(settings.maxBodyBytes));
         evhttp_set_allowed_methods(
             http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
-        const timeval limit = toTimeval(settings.idleTimeout);
+        const timeval limit = toTimeval(settings.idleTimeout + timeoutMargin);
         evhttp_set_timeout_tv(http, &limit);
         // EVHTTP_SERVER_LINGERING_CLOSE must stay unset: with the flag, libevent 2.1.12 keeps the
         // rest of an oversized body in memory, which grew to 4 GB within 3 s with a fast sender.
@@ -92,7 +95,6 @@
 
     ~implementation()
     {
-        loop.cancel(sweepTimer);
         for (http_responder::state *s : openStates) {
             event_free(s->closeEvent);
             s->closeEvent = nullptr;
@@ -103,9 +105,6 @@
         openStates.clear();
         listeners.clear(); // evhttp_free() frees them before the connections.
         evhttp_free(http);
-        for (auto &[socket, connection] : connections)
-            bufferevent_decref(socket);
-        loop.cancel(checkTimer);
     }
 
     tl::expected<ip_endpoint, std::string> listen(const ip_endpoint &where)
@@ -144,120 +143,22 @@
             bufferevent_openssl_set_allow_dirty_shutdown(socket, 1);
         else
             enableLargeReads(socket);
-        bufferevent_incref(socket);
-        server_connection &connection = connections[socket];
-        connection.server = this;
-        connection.socket = socket;
-        connection.waitingSince = loop.now();
-        evbuffer_add_cb(bufferevent_get_input(socket), &implementation::onBytes, &connection);
-        evbuffer_add_cb(bufferevent_get_output(socket), &implementation::onBytes, &connection);
+        connections.add(socket);
         updateListeners();
-        if (sweepTimer == 0 || isFull())
-            scheduleSweep();
         return socket;
     }
 
-    bool isFull() const { return connections.size() >= settings.maxConnections; }
-
     void updateListeners()
     {
         for (evhttp_bound_socket *socket : listeners) {
             evconnlistener *listener = evhttp_bound_socket_get_listener(socket);
-            if (isFull())
+            if (connections.isFull())
                 evconnlistener_disable(listener);
             else
                 evconnlistener_enable(listener);
         }
     }
 
-    void scheduleSweep()
-    {
-        loop.cancel(sweepTimer);
-        sweepTimer = loop.callAt(loop.now() + (isFull() ? sweepIntervalWhenFull : sweepInterval),
-                                 [this] { sweep(); });
-    }
-
-    // Bytes were read or written before the first request reached the handler. This may be the last
-    // that is seen of the connection, since evhttp does not report its end.
-    static void onBytes(evbuffer *, const evbuffer_cb_info *, void *argument)
-    {
-        auto *connection = static_cast<server_connection *>(argument);
-        if (!std::exchange(connection->isCheckDue, true))
-            connection->server->scheduleCheck(connection->socket);
-    }
-
-    void scheduleCheck(bufferevent *socket)
-    {
-        toCheck.push_back(socket);
-        if (checkTimer == 0)
-            checkTimer = loop.callAt(loop.now(), [this] { checkForEnd(); });
-    }
-
-    // Removes those connections that evhttp has closed. Until then, their bufferevents keep the
-    // descriptors open and go on reading.
-    void checkForEnd()
-    {
-        checkTimer = 0;
-        for (bufferevent *socket : std::exchange(toCheck, {})) {
-            const auto found = connections.find(socket);
-            if (found == connections.end())
-                continue;
-            found->second.isCheckDue = false;
-            if (isClosed(found->second)) {
-                bufferevent_decref(socket);
-                connections.erase(found);
-            }
-        }
-        updateListeners();
-    }
-
-    // Removes connections that evhttp has closed, and closes connections that have timed out.
-    void sweep()
-    {
-        const instant now = loop.now();
-        for (auto i = connections.begin(); i != connections.end();) {
-            server_connection &connection = i->second;
-            if (isClosed(connection)) {
-                bufferevent_decref(connection.socket);
-                i = connections.erase(i);
-                continue;
-            }
-            // After the shutdown, evhttp reads the end of the stream and frees the connection.
-            const bool isOverdue = now - connection.waitingSince > settings.idleTimeout;
-            const bool isDrained = isDraining && isIdle(connection);
-            if (!connection.hasRequest && (isOverdue || isDrained))
-                shutdown(bufferevent_getfd(connection.socket), SHUT_RDWR);
-            ++i;
-        }
-        updateListeners();
-        sweepTimer = 0;
-        if (!connections.empty() || !listeners.empty())
-            scheduleSweep();
-    }
-
-    // Returns true if evhttp has closed the connection.
-    static bool isClosed(const server_connection &connection)
-    {
-        bufferevent_data_cb onRead = nullptr;
-        bufferevent_data_cb onWrite = nullptr;
-        bufferevent_event_cb onEvent = nullptr;
-        bufferevent_getcb(connection.socket, &onRead, &onWrite, &onEvent, nullptr);
-        return onRead == nullptr && onWrite == nullptr && onEvent == nullptr;
-    }
-
-    static bool hasUnsentAnswer(const server_connection &connection)
-    {
-        return evbuffer_get_length(bufferevent_get_output(connection.socket)) != 0
-            && !isClosed(connection);
-    }
-
-    static bool isIdle(const server_connection &connection)
-    {
-        return !connection.hasRequest
-            && evbuffer_get_length(bufferevent_get_input(connection.socket)) == 0
-            && evbuffer_get_length(bufferevent_get_output(connection.socket)) == 0;
-    }
-
     static void onRequest(evhttp_request *request, void *self)
     {
         static_cast<implementation *>(self)->handleRequest(request);
@@ -298,16 +199,9 @@
             state.get());
         event_add(state->closeEvent, nullptr);
         openStates.insert(state.get());
-        if (const auto found = connections.find(socket); found != connections.end()) {
-            if (!std::exchange(found->second.hasReachedHandler, true)) {
-                evbuffer_remove_cb(bufferevent_get_input(socket), &implementation::onBytes,
-                                   &found->second);
-                evbuffer_remove_cb(bufferevent_get_output(socket), &implementation::onBytes,
-                                   &found->second);
-                const int on = 1;
-                setsockopt(bufferevent_getfd(socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-            }
-            found->second.hasRequest = true;
+        if (connections.beginRequest(socket, sizeOf(received))) {
+            const int on = 1;
+            setsockopt(bufferevent_getfd(socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         }
         evhttp_connection_set_closecb(connection, &implementation::onClosed, this);
 
@@ -327,10 +221,7 @@
         s.closeEvent = nullptr;
         s.request = nullptr;
         openStates.erase(&s);
-        if (const auto found = connections.find(s.socket); found != connections.end()) {
-            found->second.hasRequest = false;
-            found->second.waitingSince = loop.now();
-        }
+        connections.endRequest(s.socket);
     }
 
     void markDisconnected(http_responder::state &s)
@@ -367,8 +258,7 @@
                 evhttp_send_reply(request, 500, nullptr, nullptr);
             break;
         }
-        if (connections.erase(socket) != 0)
-            bufferevent_decref(socket);
+        connections.remove(socket);
         updateListeners();
     }
 
@@ -393,13 +283,10 @@
     event_loop &loop;
     http_server_settings settings;
     handler handle;
-    evhttp *http;
     std::vector<evhttp_bound_socket *> listeners;
-    std::unordered_map<bufferevent *, server_connection> connections;
+    server_connections connections;
+    evhttp *http;
     std::set<http_responder::state *> openStates;
-    std::vector<bufferevent *> toCheck; ///< Connections that evhttp may have closed.
-    timer_id sweepTimer = 0;
-    timer_id checkTimer = 0;
     bool isDraining = false;
 };
 
@@ -450,7 +337,7 @@
     for (evhttp_bound_socket *socket : i.listeners)
         evhttp_del_accept_socket(i.http, socket);
     i.listeners.clear();
-    i.sweep();
+    i.connections.drain();
 }
 
 std::size_t http_server::openRequests() const
@@ -460,11 +347,8 @@
 
 bool http_server::isIdle() const
 {
-    const auto &connections = m_implementation->connections;
     return m_implementation->openStates.empty()
-        && std::none_of(connections.begin(), connections.end(), [](const auto &entry) {
-               return implementation::hasUnsentAnswer(entry.second);
-           });
+        && !m_implementation->connections.hasUnsentAnswers();
 }
 
 std::size_t http_server::openConnections() const
@@ -472,4 +356,19 @@
     return m_implementation->connections.size();
 }
 
+const std::string &http_server::name() const
+{
+    return m_implementation->settings.name;
+}
+
+std::size_t http_server::heldBytes() const
+{
+    return m_implementation->connections.heldBytes();
+}
+
+const connection_counters &http_server::connectionCounters() const
+{
+    return m_implementation->connections.counters();
+}
+
 } // namespace crocuswind
--- a/packages/io/http_server.h
+++ b/packages/io/http_server.h
@@ -8,11 +8,15 @@
 #include "http_message.h"
 #include "tls_context.h"
 
+#include "policy/policy.h"
+
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
+#include <tuple>
 
 namespace crocuswind {
 
@@ -25,12 +29,38 @@
     /// connection is closed. A client that is still sending may see a connection reset instead of
     /// the response.
     std::size_t maxBodyBytes = 1024 * 1024;
-    std::size_t maxConnections = 1024; ///< At the limit, no further connection is accepted.
+    /// What connections may hold. Raised as far as the sizes of requests above demand. At the
+    /// maximum number, no further connection is accepted until others are closed.
+    connection_limits limits;
     /// Time in which a client must have read the last response and sent its next complete request;
     /// otherwise the connection is closed. This covers idle connections, slow senders and slow
     /// readers. The timeout does not apply while a request is being processed.
     duration idleTimeout = 30s;
     std::shared_ptr<tls_context> tls; ///< Plain HTTP if null.
+    std::string name = "http"; ///< Names the server in log lines.
+};
+
+/// How often the limits on connections took effect.
+struct connection_counters
+{
+    std::uint64_t paused = 0; ///< A connection was not read until its answer had been sent.
+    std::uint64_t waitedForRoom = 0; ///< A large request had to wait until memory was free.
+    std::uint64_t closedUnread = 0; ///< Closed because the client did not take its answer in time.
+    std::uint64_t closedForMemory = 0; ///< Closed because all connections held too much memory.
+    std::uint64_t closedForOthers = 0; ///< Closed while idle, so that others can be accepted.
+
+    friend bool operator==(const connection_counters &a, const connection_counters &b)
+    {
+        const auto tied = [](const connection_counters &c) {
+            return std::tie(c.paused, c.waitedForRoom, c.closedUnread, c.closedForMemory,
+                            c.closedForOthers);
+        };
+        return tied(a) == tied(b);
+    }
+    friend bool operator!=(const connection_counters &a, const connection_counters &b)
+    {
+        return !(a == b);
+    }
 };
 
 /// Sends the response to one request, at once or later. Copies refer to the same request. If all
@@ -90,6 +120,15 @@
     /// Returns the number of open connections.
     std::size_t openConnections() const;
 
+    /// Returns the name from the settings.
+    const std::string &name() const;
+
+    /// Returns the bytes that all connections hold.
+    std::size_t heldBytes() const;
+
+    /// Returns how often the limits on connections took effect.
+    const connection_counters &connectionCounters() const;
+
 private:
     friend class http_responder;
     struct implementation;
--- a/packages/io/io.h
+++ b/packages/io/io.h
@@ -4,6 +4,7 @@
 #ifndef CROCUSWIND_IO_IO_H
 #define CROCUSWIND_IO_IO_H
 
+#include "connection_metrics.h"
 #include "endpoint.h"
 #include "etcd_store.h"
 #include "event_loop.h"
--- a/packages/io/socket_throughput.cpp
+++ b/packages/io/socket_throughput.cpp
@@ -1,8 +1,10 @@
 #include "socket_throughput.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <sys/ioctl.h>
 
 namespace crocuswind {
@@ -22,6 +24,17 @@
     return ioctl(socket, FIONREAD, &unread) == 0 && unread > 0;
 }
 
+// Returns how many bytes the next read may add to the input: none from the high watermark on.
+std::size_t nextReadSize(bufferevent *socket)
+{
+    std::size_t highWatermark = 0;
+    bufferevent_getwatermark(socket, EV_READ, nullptr, &highWatermark);
+    if (highWatermark == 0)
+        return libeventReadSize;
+    const std::size_t length = evbuffer_get_length(bufferevent_get_input(socket));
+    return std::min(libeventReadSize, std::max(highWatermark, length) - length);
+}
+
 // Reads more input from within libevent's own read, the only time at which libevent allows others
 // to add to the input buffer. Each additional read calls this function recursively.
 void onInput(evbuffer *input, const evbuffer_cb_info *info, void *argument)
@@ -30,12 +43,14 @@
     if (isReadingMore || info->n_added < libeventReadSize)
         return;
     isReadingMore = true;
-    const int socket = bufferevent_getfd(static_cast<bufferevent *>(argument));
-    int count = int(libeventReadSize);
+    auto *socket = static_cast<bufferevent *>(argument);
+    const int descriptor = bufferevent_getfd(socket);
     // Reading stops at the end of the connection or an error, which libevent then detects itself.
-    for (int i = 0; i < maxExtraReads && count == int(libeventReadSize) && hasUnreadInput(socket);
-         ++i)
-        count = evbuffer_read(input, socket, -1);
+    for (int i = 0; i < maxExtraReads && hasUnreadInput(descriptor); ++i) {
+        const std::size_t size = nextReadSize(socket);
+        if (size == 0 || evbuffer_read(input, descriptor, int(size)) < int(size))
+            break;
+    }
     isReadingMore = false;
 }
 
