--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -4,6 +4,7 @@
 #define CROCUSWIND_POLICY_POLICY_H
 
 #include "call_patience.h"
+#include "connection_budget.h"
 #include "owner_standing.h"
 
 #endif
