Renew leases before other polls, and poll idle workers by the owner's size

Cause: an owner on 0.1 of a core polls each of 3,000 idle workers every 1.2 s.

Renewals go first, by the end of the lease, and are never held back. A relay that has 500 workers for each of its cores gets no more while another one has room.

--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -90,6 +90,13 @@
     }
 };
 
+// Returns how long the last round of the owner's duties took.
+duration lastRoundOf(const scheduler_state &state)
+{
+    return state.inputHandledUntil == instant() ? duration::zero()
+                                                : state.now - state.inputHandledUntil;
+}
+
 bool isWaiting(const task_state &task)
 {
     return task.phase == task_phase::waiting;
@@ -206,8 +213,8 @@
     explicit dispatch_pass(scheduler_state &state)
         : m_state(state)
         , m_chooser(refreshedChooser(state))
-        , m_maxStarts(int(std::min<std::int64_t>(
-              maxStartsPerPass, state.startWindow.available(state.startsInFlight))))
+        , m_maxStarts(int(std::min(policy::allowedStarts(maxStartsPerPass, lastRoundOf(state)),
+                                   state.startWindow.available(state.startsInFlight))))
     { }
 
     /// Returns true if the pass ended because it reached the maximum number of starts.
--- a/packages/scheduler/relay_assignment.cpp
+++ b/packages/scheduler/relay_assignment.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Workers that an owner serves itself, for each of its cores.
+/// Workers that an owner, or a relay, serves itself, for each of its cores.
 constexpr std::int64_t workersPerCore = 500;
 constexpr std::int64_t milliCoresPerCore = 1000;
 
@@ -113,6 +113,8 @@
     const bool isPresent = host == worker.route.relay;
     relay_cost cost;
     cost.isRecentlyLeft = host == worker.formerRelay && now - worker.changedAt < minRouteAge;
+    cost.isFull = !isPresent
+        && candidate.workers * milliCoresPerCore >= candidate.offer.milliCores * workersPerCore;
     cost.isSmall = candidate.offer.milliCores < largeRelayMilliCores;
     cost.isRemote = candidate.offer.dataCentre != worker.dataCentre;
     cost.load
@@ -123,7 +125,7 @@
 const host_id *relay_assignment::bestRelay(const worker_route &worker, instant now) const
 {
     const auto key = [](const relay_cost &c) {
-        return std::tuple(c.isRecentlyLeft, c.isSmall, c.isRemote, c.load);
+        return std::tuple(c.isRecentlyLeft, c.isFull, c.isSmall, c.isRemote, c.load);
     };
     const host_id *best = nullptr;
     relay_cost lowest;
--- a/packages/scheduler/relay_assignment.h
+++ b/packages/scheduler/relay_assignment.h
@@ -87,6 +87,9 @@
     struct relay_cost
     {
         bool isRecentlyLeft = false; ///< The worker has been taken from it a moment ago.
+        /// It has as many workers as it can serve: offers come one after the other, and without
+        /// this the first relays of a new owner get all first polls of a large fleet.
+        bool isFull = false;
         bool isSmall = false;
         bool isRemote = false; ///< In another data centre than the worker.
         double load = 0; ///< Workers for each thousandth of a core, with one more.
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -121,6 +121,7 @@
         state.committingLeaving.clear();
         state.discardChooser();
         state.pollQueue = {};
+        state.pollDuties = {};
         state.workers.clear();
         state.workersAsOf = {};
         state.areStartsHeld = false;
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -34,6 +34,9 @@
     /// announced that they leave. A worker announces that at least 2 s ahead, and a command takes
     /// up to 0.8 s.
     duration longestWorkersAge = 1200ms;
+    /// Processors of this host, in thousandths of a core. They bound how often an owner polls
+    /// workers without runs; 0 if not known.
+    std::int64_t milliCores = 0;
     duration earlyLimit = 100ms; ///< An occurrence may be released this long before its due time.
 };
 
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -4,6 +4,7 @@
 
 #include "former_list.h"
 #include "interference_model.h"
+#include "poll_duties.h"
 #include "scheduler_core.h"
 #include "start_window.h"
 #include "unreported_workers.h"
@@ -41,9 +42,6 @@
     std::vector<pending_completion> completions;
 };
 
-/// When a worker is to be polled.
-using poll_time = std::pair<instant, worker_id>;
-
 /// A step that has tasks waiting to start.
 struct ready_step
 {
@@ -112,6 +110,7 @@
     /// Times of polls with their workers, the earliest first. An entry counts only if it is the
     /// worker's present `nextPollAt`.
     std::priority_queue<poll_time, std::vector<poll_time>, std::greater<poll_time>> pollQueue;
+    poll_duties pollDuties;
     instant nextPollScanAt; ///< No worker is due for a poll before this time.
     instant nextReviewAt; ///< Next check for unanswered stops and lapsed leases.
     instant nextPruneAt; ///< Next removal of workers that have left.
--- a/packages/scheduler/worker_incarnation.cpp
+++ b/packages/scheduler/worker_incarnation.cpp
@@ -113,7 +113,7 @@
     if (worker.isPollInFlight)
         ++worker.lastPoll;
     worker.lastPollBeforeFence = worker.lastPoll;
-    worker.isPollInFlight = false;
+    state.pollDuties.noteEnded(worker);
     worker.isAcknowledgementInFlight = false;
     // A former owner may go on sending commands until its own leases end.
     const bool mayBeInherited = state.unreportedWorkers.contains(worker.info.id);
--- a/packages/scheduler/worker_polls.cpp
+++ b/packages/scheduler/worker_polls.cpp
@@ -4,6 +4,7 @@
 #include "worker_incarnation.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace crocuswind::scheduler {
 
@@ -86,7 +87,7 @@
     return std::min(usualEnd, std::max(leavesAt, state.now + leavingWorkerLease));
 }
 
-void sendPoll(scheduler_state &state, worker_record &worker)
+void sendPoll(scheduler_state &state, worker_record &worker, policy::poll_duty duty)
 {
     poll_command command;
     command.worker = worker.info.id;
@@ -114,12 +115,62 @@
         && isConfirmed(state);
     if (mayWait)
         command.waitMs = pollWaitOf(state, worker);
-    worker.isPollInFlight = true;
+    state.pollDuties.noteSent(worker, duty);
     worker.pollSentAt = state.now;
     ++state.counters.polls;
     state.ports.poll(command);
 }
 
+policy::owner_size ownerSize(const scheduler_state &state)
+{
+    return {state.settings.milliCores, std::int64_t(state.workers.size())};
+}
+
+// Returns the worker if the poll is still due, or null. The result of a poll in flight schedules
+// the next one.
+worker_record *findDue(scheduler_state &state, const poll_time &poll)
+{
+    worker_record *worker = state.findWorker(poll.second);
+    const bool isDue
+        = worker != nullptr && worker->nextPollAt == poll.first && !worker->isPollInFlight;
+    return isDue ? worker : nullptr;
+}
+
+// Takes the polls that are due from the queue. Returns the workers whose leases are to be renewed,
+// and holds the other polls back.
+std::vector<worker_record *> takeDuePolls(scheduler_state &state)
+{
+    std::vector<worker_record *> renewals;
+    while (!state.pollQueue.empty() && state.pollQueue.top().first <= state.now) {
+        const poll_time poll = state.pollQueue.top();
+        state.pollQueue.pop();
+        worker_record *worker = findDue(state, poll);
+        if (worker == nullptr)
+            continue;
+        const policy::poll_duty duty = pollDutyOf(*worker);
+        const bool isAwaited = worker->isListed || !worker->runs.empty() || !worker->hasReported;
+        if (!isAwaited)
+            state.schedulePoll(*worker, state.now + goneWorkerInterval);
+        else if (duty == policy::poll_duty::renewal)
+            renewals.push_back(worker);
+        else
+            state.pollDuties.hold(duty, poll);
+    }
+    return renewals;
+}
+
+// Sends up to \p allowed of the polls that are held back for \p duty.
+void sendHeldPolls(scheduler_state &state, policy::poll_duty duty, std::int64_t allowed)
+{
+    while (allowed > 0 && state.pollDuties.hasHeld(duty)) {
+        worker_record *worker = findDue(state, state.pollDuties.takeHeld(duty));
+        if (worker == nullptr)
+            continue;
+        sendPoll(state, *worker, pollDutyOf(*worker));
+        --allowed;
+    }
+}
+
 } // namespace
 
 std::optional<instant> leaseEnd(const scheduler_state &state)
@@ -133,18 +184,21 @@
 {
     if (state.now < state.nextPollScanAt)
         return;
-    while (!state.pollQueue.empty() && state.pollQueue.top().first <= state.now) {
-        const auto [due, id] = state.pollQueue.top();
-        state.pollQueue.pop();
-        worker_record *worker = state.findWorker(id);
-        // The result of a poll in flight schedules the next one.
-        if (worker == nullptr || worker->nextPollAt != due || worker->isPollInFlight)
-            continue;
-        if (worker->isListed || !worker->runs.empty() || !worker->hasReported)
-            sendPoll(state, *worker);
-        else
-            state.schedulePoll(*worker, state.now + goneWorkerInterval);
+    std::vector<worker_record *> renewals = takeDuePolls(state);
+    std::stable_sort(renewals.begin(), renewals.end(),
+                     [](const worker_record *a, const worker_record *b) {
+                         return a->lease.lapsesBy() < b->lease.lapsesBy();
+                     });
+    for (worker_record *worker : renewals) {
+        if (!worker->isPollInFlight)
+            sendPoll(state, *worker, policy::poll_duty::renewal);
     }
+    using policy::poll_duty;
+    const auto allowed
+        = [&] { return policy::allowedPolls(ownerSize(state), state.pollDuties.inFlight()); };
+    sendHeldPolls(state, poll_duty::first, allowed().first);
+    sendHeldPolls(state, poll_duty::retry, allowed().retry);
+    sendHeldPolls(state, poll_duty::idle, allowed().idle);
     const instant next
         = state.pollQueue.empty() ? state.now + idlePollInterval : state.pollQueue.top().first;
     // With many workers a poll is due at almost any time. The minimum interval between scans
@@ -152,6 +206,13 @@
     state.nextPollScanAt = std::max(next, state.now + pollScanInterval);
 }
 
+void notePollEnded(scheduler_state &state, worker_record &worker)
+{
+    state.pollDuties.noteEnded(worker);
+    if (state.pollDuties.held() > 0)
+        state.nextPollScanAt = std::min(state.nextPollScanAt, state.now + pollScanInterval);
+}
+
 instant nextWorkerWake(const scheduler_state &state)
 {
     return std::min(state.nextReviewAt, state.nextPollScanAt);
@@ -170,7 +231,8 @@
         state.schedulePoll(worker,
                            state.now + (isConfirmed(state) ? pollPause : unconfirmedPollInterval));
     else
-        state.schedulePoll(worker, state.now + idlePollInterval);
+        state.schedulePoll(
+            worker, state.now + policy::idlePollInterval(ownerSize(state), idlePollInterval));
 }
 
 void scheduleFailedPoll(scheduler_state &state, worker_record &worker)
--- a/packages/scheduler/worker_polls.h
+++ b/packages/scheduler/worker_polls.h
@@ -15,6 +15,9 @@
 /// Polls the workers that are due for a poll.
 void pollWorkers(scheduler_state &state);
 
+/// The poll in flight at the worker has a result.
+void notePollEnded(scheduler_state &state, worker_record &worker);
+
 /// Returns when pollWorkers() or reviewWorkers() is due next.
 instant nextWorkerWake(const scheduler_state &state);
 
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -6,6 +6,8 @@
 #include "earlier_authority.h"
 #include "job_model.h"
 
+#include "policy/policy.h"
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -335,6 +337,7 @@
     // Polls.
     std::uint64_t lastPoll = 0;
     bool isPollInFlight = false; ///< A poll is in flight.
+    policy::poll_duty pollDuty = policy::poll_duty::first; ///< Of the poll in flight.
     bool isAcknowledgementInFlight = false; ///< That poll acknowledges completions.
     /// Since when polls could not acknowledge completions that are durable.
     std::optional<instant> unacknowledgedSince;
--- a/packages/scheduler/worker_reports.cpp
+++ b/packages/scheduler/worker_reports.cpp
@@ -215,9 +215,12 @@
 
 // Handles a start that was certainly not carried out.
 void undoStart(scheduler_state &state, worker_record &worker, const start_command &command,
-               task_state &task)
+               task_state &task, command_outcome outcome)
 {
     ++state.counters.startsRejected;
+    // A worker without runs may not be polled for seconds. Its process may have ended.
+    if (outcome == command_outcome::connection_refused && !worker.isPollInFlight)
+        state.bringPollForward(worker, state.now);
     worker.avoidedUntil = std::max(worker.avoidedUntil, state.now + refusedStartBackoff);
     unbindRun(state, command.task, task);
     requeue(state, command.task, task);
@@ -345,7 +348,7 @@
     worker_record *worker = state.findWorker(command.worker);
     if (worker == nullptr || command.number != worker->lastPoll)
         return;
-    worker->isPollInFlight = false;
+    notePollEnded(state, *worker);
     if (std::exchange(worker->isAcknowledgementInFlight, false)) {
         state.noteWorkerChanged(*worker);
         state.isDispatchWanted = true;
@@ -425,7 +428,7 @@
         state.bringPollForward(*worker, state.now);
         return;
     default:
-        undoStart(state, *worker, command, *task);
+        undoStart(state, *worker, command, *task, result.outcome);
     }
 }
 
