Show on the owner which polls wait and which passes start less

event=load gains polls_held, idle_poll_ms and passes_held_back; three metrics and their rows for operators say the same.

--- a/packages/jobs/job_metrics.cpp
+++ b/packages/jobs/job_metrics.cpp
@@ -21,6 +21,7 @@
         {"crocuswind_worker_polls_total", c.polls},
         {"crocuswind_pace_orders_total", c.paces},
         {"crocuswind_commits_total", c.commits},
+        {"crocuswind_passes_held_back_total", c.passesHeldBack},
         {"crocuswind_tasks_done_total", c.completionsDone},
         {"crocuswind_tasks_failed_total", c.completionsFailed},
         {"crocuswind_runs_lost_total", c.runsLost},
@@ -37,6 +38,8 @@
     metrics.set("crocuswind_owner", {}, core.isOwner() ? 1 : 0);
     metrics.set("crocuswind_jobs_known", {}, double(c.jobsKnown));
     metrics.set("crocuswind_tasks_waiting", {}, double(c.tasksWaiting));
+    metrics.set("crocuswind_polls_held", {}, double(c.pollsHeld));
+    metrics.set("crocuswind_idle_poll_seconds", {}, double(c.idlePollMs) / 1e3);
     metrics.set("crocuswind_evacuated_data_centres", {}, double(c.evacuatedDataCentres));
 }
 
--- a/packages/jobs/load_report.cpp
+++ b/packages/jobs/load_report.cpp
@@ -90,13 +90,15 @@
     m_metrics.set("crocuswind_workers_age_seconds", {}, double(workersAgeMs) / 1e3);
     m_log.info("event=load epoch={} late_ms={} rounds={} processor_ms={} start_ms={} store_ms={} "
                "workers_age_ms={} accepted={} starts={} polls={} paces={} commits={} "
-               "tasks_waiting={} jobs_uncommitted={} workers_unreported={}",
+               "tasks_waiting={} jobs_uncommitted={} workers_unreported={} polls_held={} "
+               "idle_poll_ms={} passes_held_back={}",
                m_epoch, lateMs, rounds - m_reportedRounds, nowProcessorMs - m_reportedProcessorMs,
                milliseconds(std::exchange(m_longestStart, duration::zero())),
                milliseconds(std::exchange(m_longestStoreCall, duration::zero())), workersAgeMs,
                now.accepted - before.accepted, now.starts - before.starts, now.polls - before.polls,
                now.paces - before.paces, now.commits - before.commits, now.tasksWaiting,
-               now.jobsUncommitted, now.workersUnreported);
+               now.jobsUncommitted, now.workersUnreported, now.pollsHeld, now.idlePollMs,
+               now.passesHeldBack - before.passesHeldBack);
     m_reported = now;
     m_reportedProcessorMs = nowProcessorMs;
     m_reportedRounds = rounds;
--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -462,6 +462,8 @@
         return;
     }
     reviewClaims(state);
+    if (policy::allowedStarts(maxStartsPerPass, lastRoundOf(state)) < maxStartsPerPass)
+        ++state.counters.passesHeldBack;
     const bool hasReachedLimit = dispatch_pass(state).run();
     const bool isWindowFull = state.startWindow.available(state.startsInFlight) == 0;
     state.isDispatchWanted = hasReachedLimit;
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -63,6 +63,9 @@
                                       /// Gauge: workers without a report since the takeover, whose
                                       /// possible tasks must not start.
     std::int64_t workersUnreported = 0;
+    std::int64_t pollsHeld = 0; ///< Gauge: due polls of workers without known runs, not sent yet.
+    std::int64_t idlePollMs = 0; ///< Gauge: time between two polls of a worker without runs.
+    std::int64_t passesHeldBack = 0; ///< Dispatch passes that a late round of duties has shortened.
 };
 
 /// A key and its value in the store, as read during a takeover.
--- a/packages/scheduler/worker_polls.cpp
+++ b/packages/scheduler/worker_polls.cpp
@@ -171,6 +171,14 @@
     }
 }
 
+void scheduleIdlePoll(scheduler_state &state, worker_record &worker)
+{
+    const duration interval = policy::idlePollInterval(ownerSize(state), idlePollInterval);
+    state.counters.idlePollMs
+        = std::chrono::duration_cast<std::chrono::milliseconds>(interval).count();
+    state.schedulePoll(worker, state.now + interval);
+}
+
 } // namespace
 
 std::optional<instant> leaseEnd(const scheduler_state &state)
@@ -199,6 +207,7 @@
     sendHeldPolls(state, poll_duty::first, allowed().first);
     sendHeldPolls(state, poll_duty::retry, allowed().retry);
     sendHeldPolls(state, poll_duty::idle, allowed().idle);
+    state.counters.pollsHeld = state.pollDuties.held();
     const instant next
         = state.pollQueue.empty() ? state.now + idlePollInterval : state.pollQueue.top().first;
     // With many workers a poll is due at almost any time. The minimum interval between scans
@@ -231,8 +240,7 @@
         state.schedulePoll(worker,
                            state.now + (isConfirmed(state) ? pollPause : unconfirmedPollInterval));
     else
-        state.schedulePoll(
-            worker, state.now + policy::idlePollInterval(ownerSize(state), idlePollInterval));
+        scheduleIdlePoll(state, worker);
 }
 
 void scheduleFailedPoll(scheduler_state &state, worker_record &worker)
