Look at all workers, relays and check-ins of a large fleet less often

Change: a check-in that says nothing new changes nothing; the utilisation of the fleet is summed up and relays are compared at intervals that grow with the fleet; three maps by worker are hash maps.

Measured: not yet.

--- a/packages/jobs/relayed_worker_link.h
+++ b/packages/jobs/relayed_worker_link.h
@@ -89,8 +89,8 @@
     worker_link &m_direct;
     message_sender m_send;
     scheduler::relay_assignment m_assignment;
-    std::map<worker_id, std::string> m_addresses;
-    std::map<worker_id, int> m_inFlightOfWorker;
+    std::unordered_map<worker_id, std::string> m_addresses;
+    std::unordered_map<worker_id, int> m_inFlightOfWorker;
     std::unordered_map<std::uint64_t, command_in_flight> m_inFlight;
     std::map<host_id, outgoing_batch> m_outgoing;
     life_tokens m_numbers;
--- a/packages/policy/duty_order.cpp
+++ b/packages/policy/duty_order.cpp
@@ -21,6 +21,9 @@
 /// Polls of workers without runs that a whole core sends in a second. They take a sixth of it.
 constexpr std::int64_t idlePollsPerCoreSecond = 2500;
 
+/// Workers that an owner looks at in a second for one purpose.
+constexpr std::int64_t scannedWorkersPerSecond = 30000;
+
 /// A round of the owner's duties that takes this long is in time. A longer one takes from the
 /// starts, and one that takes as long as the longest leaves none: leases of 6 s are renewed every
 /// second, and several renewals have to fail before one lapses.
@@ -55,6 +58,11 @@
     return std::max(shortest, std::chrono::duration_cast<duration>(needed));
 }
 
+duration fullScanInterval(std::int64_t workers)
+{
+    return duration(1s) * workers / scannedWorkersPerSecond;
+}
+
 std::int64_t allowedStarts(std::int64_t starts, duration round)
 {
     if (round <= promptRound)
--- a/packages/policy/duty_order.h
+++ b/packages/policy/duty_order.h
@@ -47,6 +47,10 @@
 /// is too large for the owner to poll each worker that often.
 duration idlePollInterval(const owner_size &size, duration shortest);
 
+/// Returns the least time between two looks at all \p workers for the same purpose. It is shorter
+/// than a dispatch pass takes in fleets of up to 300 workers.
+duration fullScanInterval(std::int64_t workers);
+
 /// Returns how many of \p starts tasks may start in a pass, when the last round of the owner's
 /// duties took \p round. An owner that cannot renew the leases of what runs starts nothing.
 std::int64_t allowedStarts(std::int64_t starts, duration round);
--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -220,7 +220,11 @@
     /// Returns true if the pass ended because it reached the maximum number of starts.
     bool run()
     {
-        m_isUtilisationLow = isUtilisationLow();
+        if (m_state.now >= m_state.nextUtilisationAt) {
+            m_state.isUtilisationLow = isUtilisationLow();
+            m_state.nextUtilisationAt
+                = m_state.now + policy::fullScanInterval(std::int64_t(m_state.workers.size()));
+        }
         startClaimed();
         const int claimedStarts = m_starts;
         const std::vector<ordered_step> steps = orderSteps(m_state);
@@ -316,7 +320,8 @@
         request.tasksOfStep = &tasksOfStep;
         request.preferredRack = step.dataRack;
         request.isYielding = areStarved && step.isBestEffort;
-        const bool isLate = m_isUtilisationLow && ordered.rank.outlook >= deadline_outlook::late;
+        const bool isLate
+            = m_state.isUtilisationLow && ordered.rank.outlook >= deadline_outlook::late;
         request.maxPressure = isLate ? maxPressureAtLowUtilisation : maxPressure;
         for (const task_state &task : tasks) {
             if (mayHaveRun(task))
@@ -443,7 +448,6 @@
     scheduler_state &m_state;
     worker_chooser &m_chooser;
     int m_maxStarts;
-    bool m_isUtilisationLow = false;
     int m_starts = 0;
     std::vector<missing_room> m_withoutRoom;
 };
--- a/packages/scheduler/relay_assignment.cpp
+++ b/packages/scheduler/relay_assignment.cpp
@@ -1,5 +1,6 @@
 #include "relay_assignment.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -24,6 +25,9 @@
 /// this factor.
 constexpr double minLoadRatio = 2;
 
+/// Relays that an owner compares in a second, for workers that have one.
+constexpr std::int64_t comparisonsPerSecond = 100000;
+
 /// Number of routes that an epoch may use for a worker.
 constexpr std::int64_t generationsPerEpoch = 1 << 20;
 
@@ -112,7 +116,7 @@
 {
     const bool isPresent = host == worker.route.relay;
     relay_cost cost;
-    cost.isRecentlyLeft = host == worker.formerRelay && now - worker.changedAt < minRouteAge;
+    cost.isRecentlyLeft = now - worker.changedAt < minRouteAge && host == worker.formerRelay;
     cost.isFull = !isPresent
         && candidate.workers * milliCoresPerCore >= candidate.offer.milliCores * workersPerCore;
     cost.isSmall = candidate.offer.milliCores < largeRelayMilliCores;
@@ -139,11 +143,18 @@
     return best;
 }
 
+// Returns how often a worker's relay is compared with all others.
+duration relay_assignment::reviewInterval() const
+{
+    const auto comparisons = std::int64_t(m_workers.size() * m_relays.size());
+    return std::max(minRouteAge, duration(1s) * comparisons / comparisonsPerSecond);
+}
+
 // Returns true if another relay serves the worker much better than its present one. Relays offer
 // themselves one after the other, so the first ones get more workers than their share.
 bool relay_assignment::isWorthMoving(worker_route &worker, instant now) const
 {
-    if (now - worker.changedAt < minRouteAge || now - worker.reviewedAt < minRouteAge)
+    if (now - worker.changedAt < minRouteAge || now - worker.reviewedAt < reviewInterval())
         return false;
     worker.reviewedAt = now;
     const auto present = m_relays.find(worker.route.relay);
--- a/packages/scheduler/relay_assignment.h
+++ b/packages/scheduler/relay_assignment.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 namespace crocuswind::scheduler {
 
@@ -99,11 +100,12 @@
                       instant now) const;
     const host_id *bestRelay(const worker_route &worker, instant now) const;
     bool isWorthMoving(worker_route &worker, instant now) const;
+    duration reviewInterval() const;
     void assign(worker_route &worker, const host_id &relay, instant now);
 
     std::int64_t m_ownerMilliCores;
     std::map<host_id, relay> m_relays;
-    std::map<worker_id, worker_route> m_workers;
+    std::unordered_map<worker_id, worker_route> m_workers;
     std::int64_t m_listedWorkers = 0;
 };
 
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -122,6 +122,7 @@
         state.discardChooser();
         state.pollQueue = {};
         state.pollDuties = {};
+        state.nextUtilisationAt = instant();
         state.workers.clear();
         state.workersAsOf = {};
         state.areStartsHeld = false;
@@ -286,6 +287,10 @@
     const bool isOtherIncarnation = info.incarnationStartUnixMs != 0
         && worker.incarnationStartUnixMs != 0
         && info.incarnationStartUnixMs > worker.incarnationStartUnixMs;
+    // A check-in that says nothing new. Thousands of workers check in every second or two.
+    const bool isKnown = !isNew && worker.isListed && worker.info == info;
+    if (isKnown && worker.hasReported && !isOtherIncarnation)
+        return;
     if (isOtherIncarnation)
         restartWorker(i.state, worker, info.incarnationStartUnixMs);
     if (!worker.isListed || worker.info != info)
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -146,6 +146,8 @@
     // Dispatch.
     bool isDispatchWanted = false;
     instant nextDispatchAt;
+    bool isUtilisationLow = false; ///< As of the last look at all workers.
+    instant nextUtilisationAt; ///< When a pass looks at all workers again.
     std::int64_t startsInFlight = 0; ///< Start commands without a result.
     start_window startWindow;
     std::vector<ready_step> ready; ///< Superset of the steps with waiting tasks.
--- a/test/correctness/policy_duty_order_test.cpp
+++ b/test/correctness/policy_duty_order_test.cpp
@@ -47,3 +47,9 @@
     EXPECT_EQ(allowedStarts(200, 1500ms), 0);
     EXPECT_EQ(allowedStarts(200, 5s), 0);
 }
+
+TEST(DutyOrder, LooksAtAllWorkersBecomeRarerAsTheFleetGrows)
+{
+    EXPECT_LE(fullScanInterval(300), 10ms) << "each dispatch pass looks at all workers";
+    EXPECT_EQ(fullScanInterval(3000), 100ms);
+}
