--- a/packages/policy/duty_order.cpp
+++ b/packages/policy/duty_order.cpp
@@ -9,11 +9,15 @@
 
 constexpr std::int64_t milliCoresPerCore = 1000;
 
-/// Polls without a known run that a whole core has in flight at most. They are answered at once, so
-/// that more of them only wait in queues, until they are given up and sent again.
-constexpr std::int64_t openPollsPerCore = 2000;
+/// Polls of workers without known runs that a whole core has in flight at most. They are answered
+/// at once, so that more of them only wait in queues: until they are given up and sent again, and
+/// in front of the answers of the store.
+constexpr std::int64_t openPollsPerCore = 1000;
 constexpr std::int64_t minOpenPolls = 32;
 
+/// With slow polls, at most this many times as many are in flight.
+constexpr std::int64_t slowFactor = 4;
+
 /// Retries and idle polls together with first polls must not exceed these parts of the bound.
 constexpr std::int64_t retryDivisor = 4;
 constexpr std::int64_t idleDivisor = 2;
@@ -32,7 +36,7 @@
 
 } // namespace
 
-poll_counts allowedPolls(const owner_size &size, const poll_counts &inFlight)
+poll_counts allowedPolls(const owner_size &size, const poll_counts &inFlight, std::int64_t slow)
 {
     if (size.milliCores <= 0) {
         constexpr std::int64_t unbounded = std::numeric_limits<std::int64_t>::max();
@@ -40,12 +44,13 @@
     }
     const std::int64_t open
         = std::max(minOpenPolls, size.milliCores * openPollsPerCore / milliCoresPerCore);
-    const std::int64_t all = inFlight.first + inFlight.retry + inFlight.idle;
+    const std::int64_t quick = inFlight.first + inFlight.retry + inFlight.idle;
     const auto left = [](std::int64_t bound, std::int64_t used) {
         return std::max<std::int64_t>(0, bound - used);
     };
-    return {left(open, all), std::min(left(open / retryDivisor, inFlight.retry), left(open, all)),
-            left(open / idleDivisor, all)};
+    const std::int64_t room = std::min(left(open, quick), left(open * slowFactor, quick + slow));
+    return {room, std::min(room, left(open / retryDivisor, inFlight.retry)),
+            std::min(room, left(open / idleDivisor, quick))};
 }
 
 duration idlePollInterval(const owner_size &size, duration shortest)
--- a/packages/policy/duty_order.h
+++ b/packages/policy/duty_order.h
@@ -39,9 +39,14 @@
     std::int64_t idle = 0;
 };
 
-/// Returns how many polls of each duty may be sent now, with \p inFlight polls unanswered. Retries
-/// and idle polls leave most of the room to first polls. Without a known size there is no bound.
-poll_counts allowedPolls(const owner_size &size, const poll_counts &inFlight);
+/// A poll that has been in flight for this long is slow: its worker may be cut off.
+constexpr duration slowPoll = 300ms;
+
+/// Returns how many polls of each duty may be sent now, with \p inFlight polls unanswered and
+/// \p slow ones besides. Retries and idle polls leave most of the room to first polls. Slow polls
+/// take room only once there are several times as many as others may be in flight, so that workers
+/// that are cut off do not hold back the others. Without a known size there is no bound.
+poll_counts allowedPolls(const owner_size &size, const poll_counts &inFlight, std::int64_t slow);
 
 /// Returns the time between two polls of a worker without runs: \p shortest, or longer if the fleet
 /// is too large for the owner to poll each worker that often.
--- a/packages/scheduler/poll_duties.cpp
+++ b/packages/scheduler/poll_duties.cpp
@@ -15,19 +15,34 @@
     return worker.hasReported && !worker.isStoredAsSilent ? poll_duty::idle : poll_duty::first;
 }
 
-void poll_duties::noteSent(worker_record &worker, poll_duty duty)
+void poll_duties::noteSent(worker_record &worker, poll_duty duty, instant now)
 {
     CROCUSWIND_INVARIANT(!worker.isPollInFlight, "at most one poll of a worker may be in flight");
     worker.isPollInFlight = true;
+    worker.isPollSlow = false;
     worker.pollDuty = duty;
+    worker.pollSentAt = now;
     ++of(duty).inFlight;
+    if (duty != poll_duty::renewal)
+        m_recent.emplace_back(now, worker.info.id);
 }
 
 void poll_duties::noteEnded(worker_record &worker)
 {
     if (!std::exchange(worker.isPollInFlight, false))
         return;
+    if (worker.isPollSlow)
+        --m_slow;
+    else
+        --of(worker.pollDuty).inFlight;
+}
+
+void poll_duties::countAsSlow(worker_record &worker)
+{
+    if (!worker.isPollInFlight || std::exchange(worker.isPollSlow, true))
+        return;
     --of(worker.pollDuty).inFlight;
+    ++m_slow;
 }
 
 poll_time poll_duties::takeHeld(poll_duty duty)
--- a/packages/scheduler/worker_polls.cpp
+++ b/packages/scheduler/worker_polls.cpp
@@ -44,6 +44,8 @@
 constexpr duration goneWorkerInterval = 250ms;
 
 constexpr duration pollScanInterval = 5ms;
+/// While polls are held back, they are looked at this often even if no other one was answered.
+constexpr duration heldPollScanInterval = 50ms;
 
 /// No lease is granted and no task started with less than this of the owner's authority left.
 constexpr duration minLease = 1s;
@@ -115,8 +117,7 @@
         && isConfirmed(state);
     if (mayWait)
         command.waitMs = pollWaitOf(state, worker);
-    state.pollDuties.noteSent(worker, duty);
-    worker.pollSentAt = state.now;
+    state.pollDuties.noteSent(worker, duty, state.now);
     ++state.counters.polls;
     state.ports.poll(command);
 }
@@ -202,14 +203,20 @@
             sendPoll(state, *worker, policy::poll_duty::renewal);
     }
     using policy::poll_duty;
-    const auto allowed
-        = [&] { return policy::allowedPolls(ownerSize(state), state.pollDuties.inFlight()); };
+    state.pollDuties.noteSlow(state.now, [&](const worker_id &id) { return state.findWorker(id); });
+    const auto allowed = [&] {
+        return policy::allowedPolls(ownerSize(state), state.pollDuties.inFlight(),
+                                    state.pollDuties.slow());
+    };
     sendHeldPolls(state, poll_duty::first, allowed().first);
     sendHeldPolls(state, poll_duty::retry, allowed().retry);
     sendHeldPolls(state, poll_duty::idle, allowed().idle);
     state.counters.pollsHeld = state.pollDuties.held();
-    const instant next
+    const bool isAnyHeld = state.counters.pollsHeld > 0;
+    instant next
         = state.pollQueue.empty() ? state.now + idlePollInterval : state.pollQueue.top().first;
+    if (isAnyHeld)
+        next = std::min(next, state.now + heldPollScanInterval);
     // With many workers a poll is due at almost any time. The minimum interval between scans
     // handles several polls in one scan.
     state.nextPollScanAt = std::max(next, state.now + pollScanInterval);
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -338,6 +338,7 @@
     std::uint64_t lastPoll = 0;
     bool isPollInFlight = false; ///< A poll is in flight.
     policy::poll_duty pollDuty = policy::poll_duty::first; ///< Of the poll in flight.
+    bool isPollSlow = false; ///< The poll in flight has been so for policy::slowPoll.
     bool isAcknowledgementInFlight = false; ///< That poll acknowledges completions.
     /// Since when polls could not acknowledge completions that are durable.
     std::optional<instant> unacknowledgedSince;
