Judge the list of workers by its age when the store fell silent

Change: without the store the list has to have been young enough when the store fell silent. AnOldListDoesNotBecomeValidByAStoreThatSeemsAway started 5 tasks before the change, and none after it.

--- a/packages/scheduler/discovery_age.cpp
+++ b/packages/scheduler/discovery_age.cpp
@@ -22,8 +22,10 @@
 
 bool areWorkersOutdated(const scheduler_state &state)
 {
-    return state.isStoreAvailable
-        && state.now - state.workersAsOf > state.settings.longestWorkersAge;
+    // While the store does not answer, workers cannot give notice either. That says nothing of a
+    // list that was too old before: the answers may only wait to be read by this host.
+    const instant mayHaveChangedUntil = state.isStoreAvailable ? state.now : state.storeSilentSince;
+    return mayHaveChangedUntil - state.workersAsOf > state.settings.longestWorkersAge;
 }
 
 bool holdsStarts(scheduler_state &state)
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -29,6 +29,9 @@
 /// Interval at which workers that have left and have no runs are removed.
 constexpr duration pruneInterval = 100ms;
 
+/// A call to the store that had no answer was sent at most this long ago.
+constexpr duration longestStoreCall = 700ms;
+
 /// How long an owner that hands over stores changes. The successor learns from the workers what is
 /// not stored by then. Runs that end go on making changes, so that there may never be none.
 constexpr duration handoverFlushTime = 500ms;
@@ -232,6 +235,8 @@
 void scheduler_core::setStoreAvailable(instant now, bool isAvailable)
 {
     m_implementation->setNow(now);
+    if (!isAvailable && m_implementation->state.isStoreAvailable)
+        m_implementation->state.storeSilentSince = now - longestStoreCall;
     m_implementation->state.isStoreAvailable = isAvailable;
     if (!isAvailable)
         refuseUnsentJobs(m_implementation->state);
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -88,6 +88,8 @@
     instant authorityUntil;
 
     bool isStoreAvailable = true;
+    /// Since when the store may have accepted nothing. Meaningful only while it is not available.
+    instant storeSilentSince;
     instant exclusiveUntil; ///< No other host can own the jobs before this time.
 
     std::map<queue_id, queue_policy> queues;
--- a/test/correctness/scheduler_large_fleet.h
+++ b/test/correctness/scheduler_large_fleet.h
@@ -183,6 +183,7 @@
     std::int64_t epoch = 0;
     int startsCarriedOut = 0;
     int lapses = 0;
+    bool isListCurrent = true; ///< The owner hears of changes of the list of workers.
 
 private:
     std::int64_t clockMs() const
@@ -204,7 +205,8 @@
     void confirm()
     {
         owner->core.setAuthority(now, now + 6500ms, now + 1s);
-        owner->core.onWorkersSynchronized(now, now);
+        if (isListCurrent)
+            owner->core.onWorkersSynchronized(now, now);
     }
 
     command_result carryOut(const start_command &command)
--- a/test/correctness/scheduler_large_fleet_test.cpp
+++ b/test/correctness/scheduler_large_fleet_test.cpp
@@ -59,3 +59,21 @@
     EXPECT_EQ(fleet.startsCarriedOut, lastingTasks);
     EXPECT_EQ(fleet.owner->stops, 0);
 }
+
+// On the day of 3,000 workers, a new owner took four seconds to read their list. Its calls to the
+// store ran into their time limits meanwhile, and it started tasks on workers that were leaving.
+TEST(large_fleet_start, AnOldListDoesNotBecomeValidByAStoreThatSeemsAway)
+{
+    large_fleet fleet(10, smallHost, resultsPerSecond);
+    fleet.run(2s);
+    fleet.isListCurrent = false;
+    fleet.run(2s);
+    fleet.submitLasting("lasting", 5);
+    fleet.run(2s);
+    fleet.owner->core.setStoreAvailable(fleet.now, false);
+    fleet.run(1s);
+    EXPECT_EQ(fleet.startsCarriedOut, 0);
+    fleet.isListCurrent = true;
+    fleet.run(1s);
+    EXPECT_EQ(fleet.startsCarriedOut, 5);
+}
