Count the list of workers as recent as its watch after a long read

Change: after a read the copy is as recent as the later of the two. The new test failed to hold before: the age was that of the read.

Tests run: prefix mirror; passed.

--- a/packages/jobs/prefix_mirror.cpp
+++ b/packages/jobs/prefix_mirror.cpp
@@ -35,6 +35,7 @@
 {
     switch (update.what) {
     case store_watch_update::kind::started:
+        m_watchedAsOf = instant();
         read();
         return;
     case store_watch_update::kind::changed:
@@ -71,6 +72,7 @@
 
 void prefix_mirror::reportUpToDate(instant asOf)
 {
+    m_watchedAsOf = std::max(m_watchedAsOf, asOf);
     if (m_isSynchronized && m_callbacks.upToDate)
         m_callbacks.upToDate(asOf);
 }
@@ -95,7 +97,9 @@
     }
     m_isSynchronized = true;
     m_callbacks.synchronized(result->revision);
-    reportUpToDate(sentAt);
+    // A read of many pages may take seconds. The watch began before it, and what it has reported
+    // meanwhile is in the copy.
+    reportUpToDate(std::max(sentAt, m_watchedAsOf));
 }
 
 void prefix_mirror::apply(const std::string &key, const std::optional<std::string> &value,
--- a/packages/jobs/prefix_mirror.h
+++ b/packages/jobs/prefix_mirror.h
@@ -64,6 +64,7 @@
     timer_id m_retryTimer = 0;
     std::uint64_t m_lastReadId = 0; ///< Results of earlier reads are ignored.
     bool m_isSynchronized = false;
+    instant m_watchedAsOf; ///< The present watch has reported all changes before this time.
     std::map<std::string, std::string> m_values;
     /// Revision of the last change of each key, including removed keys.
     std::map<std::string, std::int64_t> m_revisions;
--- a/test/correctness/jobs_prefix_mirror_test.cpp
+++ b/test/correctness/jobs_prefix_mirror_test.cpp
@@ -82,6 +82,18 @@
     EXPECT_EQ(upToDateAsOf[2], sentAt + 1s);
 }
 
+// A read of the list of 3,000 workers took seconds, and nothing started until the next poll of the
+// watch had been answered after it.
+TEST_F(mirror, IsUpToDateAsOfAWatchThatWentOnDuringItsRead)
+{
+    emit(store_watch_update::kind::started);
+    const instant during = loop.now() + 3s;
+    emit(store_watch_update::kind::unchanged, during);
+    source.reads[0](store_reply());
+    ASSERT_EQ(upToDateAsOf.size(), 1u);
+    EXPECT_EQ(upToDateAsOf[0], during);
+}
+
 // Changes that the watch reports before all keys were read do not include the existing keys.
 TEST_F(mirror, ReportsNoAgeWhileItIsIncomplete)
 {
