--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -5,6 +5,7 @@
 
 #include "call_patience.h"
 #include "connection_budget.h"
+#include "duty_order.h"
 #include "owner_standing.h"
 
 #endif
--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -90,6 +90,13 @@
     }
 };
 
+// Returns how long the last round of the owner's duties took.
+duration lastRoundOf(const scheduler_state &state)
+{
+    return state.inputHandledUntil == instant() ? duration::zero()
+                                                : state.now - state.inputHandledUntil;
+}
+
 bool isWaiting(const task_state &task)
 {
     return task.phase == task_phase::waiting;
@@ -206,14 +213,18 @@
     explicit dispatch_pass(scheduler_state &state)
         : m_state(state)
         , m_chooser(refreshedChooser(state))
-        , m_maxStarts(int(std::min<std::int64_t>(
-              maxStartsPerPass, state.startWindow.available(state.startsInFlight))))
+        , m_maxStarts(int(std::min(policy::allowedStarts(maxStartsPerPass, lastRoundOf(state)),
+                                   state.startWindow.available(state.startsInFlight))))
     { }
 
     /// Returns true if the pass ended because it reached the maximum number of starts.
     bool run()
     {
-        m_isUtilisationLow = isUtilisationLow();
+        if (m_state.now >= m_state.nextUtilisationAt) {
+            m_state.isUtilisationLow = isUtilisationLow();
+            m_state.nextUtilisationAt
+                = m_state.now + policy::fullScanInterval(std::int64_t(m_state.workers.size()));
+        }
         startClaimed();
         const int claimedStarts = m_starts;
         const std::vector<ordered_step> steps = orderSteps(m_state);
@@ -309,7 +320,8 @@
         request.tasksOfStep = &tasksOfStep;
         request.preferredRack = step.dataRack;
         request.isYielding = areStarved && step.isBestEffort;
-        const bool isLate = m_isUtilisationLow && ordered.rank.outlook >= deadline_outlook::late;
+        const bool isLate
+            = m_state.isUtilisationLow && ordered.rank.outlook >= deadline_outlook::late;
         request.maxPressure = isLate ? maxPressureAtLowUtilisation : maxPressure;
         for (const task_state &task : tasks) {
             if (mayHaveRun(task))
@@ -436,7 +448,6 @@
     scheduler_state &m_state;
     worker_chooser &m_chooser;
     int m_maxStarts;
-    bool m_isUtilisationLow = false;
     int m_starts = 0;
     std::vector<missing_room> m_withoutRoom;
 };
@@ -455,6 +466,8 @@
         return;
     }
     reviewClaims(state);
+    if (policy::allowedStarts(maxStartsPerPass, lastRoundOf(state)) < maxStartsPerPass)
+        ++state.counters.passesHeldBack;
     const bool hasReachedLimit = dispatch_pass(state).run();
     const bool isWindowFull = state.startWindow.available(state.startsInFlight) == 0;
     state.isDispatchWanted = hasReachedLimit;
--- a/packages/scheduler/relay_assignment.h
+++ b/packages/scheduler/relay_assignment.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 namespace crocuswind::scheduler {
 
@@ -87,6 +88,9 @@
     struct relay_cost
     {
         bool isRecentlyLeft = false; ///< The worker has been taken from it a moment ago.
+        /// It has as many workers as it can serve: offers come one after the other, and without
+        /// this the first relays of a new owner get all first polls of a large fleet.
+        bool isFull = false;
         bool isSmall = false;
         bool isRemote = false; ///< In another data centre than the worker.
         double load = 0; ///< Workers for each thousandth of a core, with one more.
@@ -96,11 +100,12 @@
                       instant now) const;
     const host_id *bestRelay(const worker_route &worker, instant now) const;
     bool isWorthMoving(worker_route &worker, instant now) const;
+    duration reviewInterval() const;
     void assign(worker_route &worker, const host_id &relay, instant now);
 
     std::int64_t m_ownerMilliCores;
     std::map<host_id, relay> m_relays;
-    std::map<worker_id, worker_route> m_workers;
+    std::unordered_map<worker_id, worker_route> m_workers;
     std::int64_t m_listedWorkers = 0;
 };
 
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -29,6 +29,9 @@
 /// Interval at which workers that have left and have no runs are removed.
 constexpr duration pruneInterval = 100ms;
 
+/// A call to the store that had no answer was sent at most this long ago.
+constexpr duration longestStoreCall = 700ms;
+
 /// How long an owner that hands over stores changes. The successor learns from the workers what is
 /// not stored by then. Runs that end go on making changes, so that there may never be none.
 constexpr duration handoverFlushTime = 500ms;
@@ -121,6 +124,8 @@
         state.committingLeaving.clear();
         state.discardChooser();
         state.pollQueue = {};
+        state.pollDuties = {};
+        state.nextUtilisationAt = instant();
         state.workers.clear();
         state.workersAsOf = {};
         state.areStartsHeld = false;
@@ -230,6 +235,8 @@
 void scheduler_core::setStoreAvailable(instant now, bool isAvailable)
 {
     m_implementation->setNow(now);
+    if (!isAvailable && m_implementation->state.isStoreAvailable)
+        m_implementation->state.storeSilentSince = now - longestStoreCall;
     m_implementation->state.isStoreAvailable = isAvailable;
     if (!isAvailable)
         refuseUnsentJobs(m_implementation->state);
@@ -285,6 +292,10 @@
     const bool isOtherIncarnation = info.incarnationStartUnixMs != 0
         && worker.incarnationStartUnixMs != 0
         && info.incarnationStartUnixMs > worker.incarnationStartUnixMs;
+    // A check-in that says nothing new. Thousands of workers check in every second or two.
+    const bool isKnown = !isNew && worker.isListed && worker.info == info;
+    if (isKnown && worker.hasReported && !isOtherIncarnation)
+        return;
     if (isOtherIncarnation)
         restartWorker(i.state, worker, info.incarnationStartUnixMs);
     if (!worker.isListed || worker.info != info)
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -34,6 +34,9 @@
     /// announced that they leave. A worker announces that at least 2 s ahead, and a command takes
     /// up to 0.8 s.
     duration longestWorkersAge = 1200ms;
+    /// Processors of this host, in thousandths of a core. They bound how often an owner polls
+    /// workers without runs; 0 if not known.
+    std::int64_t milliCores = 0;
     duration earlyLimit = 100ms; ///< An occurrence may be released this long before its due time.
 };
 
@@ -60,6 +63,9 @@
                                       /// Gauge: workers without a report since the takeover, whose
                                       /// possible tasks must not start.
     std::int64_t workersUnreported = 0;
+    std::int64_t pollsHeld = 0; ///< Gauge: due polls of workers without known runs, not sent yet.
+    std::int64_t idlePollMs = 0; ///< Gauge: time between two polls of a worker without runs.
+    std::int64_t passesHeldBack = 0; ///< Dispatch passes that a late round of duties has shortened.
 };
 
 /// A key and its value in the store, as read during a takeover.
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -4,6 +4,7 @@
 
 #include "former_list.h"
 #include "interference_model.h"
+#include "poll_duties.h"
 #include "scheduler_core.h"
 #include "start_window.h"
 #include "unreported_workers.h"
@@ -41,9 +42,6 @@
     std::vector<pending_completion> completions;
 };
 
-/// When a worker is to be polled.
-using poll_time = std::pair<instant, worker_id>;
-
 /// A step that has tasks waiting to start.
 struct ready_step
 {
@@ -90,6 +88,8 @@
     instant authorityUntil;
 
     bool isStoreAvailable = true;
+    /// Since when the store may have accepted nothing. Meaningful only while it is not available.
+    instant storeSilentSince;
     instant exclusiveUntil; ///< No other host can own the jobs before this time.
 
     std::map<queue_id, queue_policy> queues;
@@ -112,6 +112,7 @@
     /// Times of polls with their workers, the earliest first. An entry counts only if it is the
     /// worker's present `nextPollAt`.
     std::priority_queue<poll_time, std::vector<poll_time>, std::greater<poll_time>> pollQueue;
+    poll_duties pollDuties;
     instant nextPollScanAt; ///< No worker is due for a poll before this time.
     instant nextReviewAt; ///< Next check for unanswered stops and lapsed leases.
     instant nextPruneAt; ///< Next removal of workers that have left.
@@ -147,6 +148,8 @@
     // Dispatch.
     bool isDispatchWanted = false;
     instant nextDispatchAt;
+    bool isUtilisationLow = false; ///< As of the last look at all workers.
+    instant nextUtilisationAt; ///< When a pass looks at all workers again.
     std::int64_t startsInFlight = 0; ///< Start commands without a result.
     start_window startWindow;
     std::vector<ready_step> ready; ///< Superset of the steps with waiting tasks.
