Choose what can be in time under overload, refuse what cannot

Cause: under 2.5 times the load nearly every job is accepted and started at the last moment in the order of objectives; most end a little late.

--- a/packages/jobs/job_metrics.cpp
+++ b/packages/jobs/job_metrics.cpp
@@ -14,6 +14,10 @@
     const std::pair<const char *, std::int64_t> totals[] = {
         {"crocuswind_jobs_accepted_total", c.accepted},
         {"crocuswind_jobs_refused_total", c.refused},
+        {"crocuswind_jobs_refused_for_load_total", c.refusedForLoad},
+        {"crocuswind_load_forecasts_right_total", c.forecastsRight},
+        {"crocuswind_load_forecasts_too_good_total", c.forecastsTooGood},
+        {"crocuswind_load_forecasts_too_bad_total", c.forecastsTooBad},
         {"crocuswind_starts_total", c.starts},
         {"crocuswind_starts_unanswered_total", c.startsUnanswered},
         {"crocuswind_starts_rejected_total", c.startsRejected},
@@ -36,6 +40,8 @@
     metrics.set("crocuswind_relays", {}, double(workers.relayCount()));
     metrics.set("crocuswind_owner", {}, core.isOwner() ? 1 : 0);
     metrics.set("crocuswind_jobs_known", {}, double(c.jobsKnown));
+    metrics.set("crocuswind_jobs_given_up", {}, double(c.jobsGivenUp));
+    metrics.set("crocuswind_forecast_delay_seconds", {}, double(c.forecastDelayMs) / 1e3);
     metrics.set("crocuswind_tasks_waiting", {}, double(c.tasksWaiting));
     metrics.set("crocuswind_evacuated_data_centres", {}, double(c.evacuatedDataCentres));
 }
--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -66,7 +66,7 @@
 constexpr int maxStarvedStartsPerPass = 4;
 
 /// Whether a job can still meet its objective, in the order in which steps are dispatched.
-enum class deadline_outlook { interrupted, in_time, continuous, late, expired };
+enum class deadline_outlook { interrupted, in_time, continuous, given_up, late, expired };
 
 // The dispatch order of steps. Steps that can still meet their objective come before those that
 // cannot: under overload, oldest-first order would make every job late. Continuous steps come in
@@ -117,11 +117,21 @@
     return since;
 }
 
+// Returns the outlook of a finite step, given what is expected of its job under the present load.
+deadline_outlook underOverload(deadline_outlook outlook, job_prospect prospect)
+{
+    if (prospect == job_prospect::useless)
+        return deadline_outlook::expired;
+    const bool isGivenUp = prospect == job_prospect::late && outlook == deadline_outlook::in_time;
+    return isGivenUp ? deadline_outlook::given_up : outlook;
+}
+
 dispatch_rank rankOf(const scheduler_state &state, const ready_step &step,
                      const std::vector<task_state> &tasks)
 {
     const job_record &job = *step.job;
-    const job_objective objective = objectiveOf(job, job.occurrences.at(step.occurrence));
+    const occurrence_state &occurrence = job.occurrences.at(step.occurrence);
+    const job_objective objective = objectiveOf(job, occurrence);
     const std::int64_t criticalPathMs = job.criticalPathsMs[std::size_t(step.step)];
     const instant endsAt = state.now
         + std::chrono::milliseconds(std::int64_t(double(criticalPathMs) * estimateMargin));
@@ -132,6 +142,7 @@
         outlook = deadline_outlook::continuous;
     } else if (endsAt > objective.at)
         outlook = endsAt > objective.lateUntil ? deadline_outlook::expired : deadline_outlook::late;
+    outlook = underOverload(outlook, occurrence.prospect);
     return {outlook, job.policy.priority, objective.at - std::chrono::milliseconds(criticalPathMs),
             job.number};
 }
@@ -214,6 +225,7 @@
     bool run()
     {
         m_isUtilisationLow = isUtilisationLow();
+        triageWaitingJobs(m_state);
         startClaimed();
         const int claimedStarts = m_starts;
         const std::vector<ordered_step> steps = orderSteps(m_state);
--- a/packages/scheduler/job_intake.cpp
+++ b/packages/scheduler/job_intake.cpp
@@ -26,12 +26,12 @@
 }
 
 void refuse(scheduler_state &state, const job_call &call, const std::string &reason,
-            std::int64_t retryAfterMs)
+            std::int64_t retryAfterMs, const std::string &inputs = {})
 {
     ++state.counters.refused;
     state.ports.log("job_refused",
-                    fmt::format("job={} queue={} retry_after_ms={} reason=\"{}\"", call.name.value,
-                                call.queue.value, retryAfterMs, reason));
+                    fmt::format("job={} queue={} retry_after_ms={} reason=\"{}\"{}",
+                                call.name.value, call.queue.value, retryAfterMs, reason, inputs));
     job_reply reply;
     reply.token = call.token;
     reply.outcome = job_outcome::refused;
@@ -40,7 +40,9 @@
     state.ports.answer(reply);
 }
 
-void accept(scheduler_state &state, const job_call &call, const queue_policy &policy)
+// Returns the record of a job that is not accepted yet.
+std::unique_ptr<job_record> makeJob(const scheduler_state &state, const job_call &call,
+                                    const queue_policy &policy)
 {
     auto job = std::make_unique<job_record>();
     job->spec = *call.spec;
@@ -51,8 +53,14 @@
     job->acceptedUnixMs = state.unixOffsetMs
         + std::chrono::duration_cast<std::chrono::milliseconds>(state.now.time_since_epoch())
               .count();
-    job->number = ++state.lastJobNumber;
     job->criticalPathsMs = computeCriticalPathsMs(job->spec);
+    return job;
+}
+
+void accept(scheduler_state &state, const job_call &call, std::unique_ptr<job_record> job)
+{
+    job->number = ++state.lastJobNumber;
+    noteAccepted(state, *job);
     ++state.counters.accepted;
     state.logDetail("job_accepted", [&] {
         return fmt::format("job={} queue={} steps={} chain_ms={}", call.name.value,
@@ -96,7 +104,13 @@
         refuse(state, call, storeReason, storeRetryMs);
         return;
     }
-    accept(state, call, policy->second);
+    auto job = makeJob(state, call, policy->second);
+    if (const auto refusal = refusalForLoad(state, *job)) {
+        ++state.counters.refusedForLoad;
+        refuse(state, call, refusal->reason, refusal->retryAfterMs, refusal->inputs);
+        return;
+    }
+    accept(state, call, std::move(job));
 }
 
 bool isBeingCommitted(const scheduler_state &state, const job_name &name)
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -67,6 +67,13 @@
 /// Returns how many runs of the tasks may exist on each worker.
 std::map<worker_id, int> countRuns(const std::vector<task_state> &tasks);
 
+/// What is expected of an occurrence under the present load, see overload_control.h.
+enum class job_prospect {
+    in_time, ///< It can meet its objective, or nothing was decided.
+    late, ///< It cannot, but can end while it is of use to its caller.
+    useless, ///< It can end only when it is of no use any more.
+};
+
 /// One execution of the steps of a job.
 struct occurrence_state
 {
@@ -74,6 +81,8 @@
     instant dueAt;
     bool isReleased = false; ///< Its due time has come; steps without predecessors may start.
     bool hasStarted = false; ///< A worker has shown that a run of one of its tasks has begun.
+    job_prospect prospect = job_prospect::in_time; ///< By the last decision under overload.
+    std::optional<job_prospect> firstProspect; ///< By the first one.
     std::vector<std::vector<task_state>> steps;
 
     /// Returns true if all tasks of the step are done.
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -107,6 +107,9 @@
         state.jobs.clear();
         state.unstartedJobs.clear();
         state.ready.clear();
+        state.roomLoads.clear();
+        state.counters.jobsGivenUp = 0;
+        state.counters.forecastDelayMs = 0;
         state.claims.clear();
         state.yieldingTasks.clear();
         state.dueOccurrences.clear();
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -53,6 +53,15 @@
     std::int64_t completionsDone = 0;
     std::int64_t completionsFailed = 0;
     std::int64_t runsLost = 0; ///< Runs that disappeared without a completion report.
+    std::int64_t refusedForLoad = 0; ///< Part of `refused`.
+    /// Of jobs for which there was too little room: those that ended as expected at first (in time
+    /// or not), those that were expected in time and were late, and the reverse.
+    std::int64_t forecastsRight = 0;
+    std::int64_t forecastsTooGood = 0;
+    std::int64_t forecastsTooBad = 0;
+    std::int64_t jobsGivenUp = 0; ///< Gauge: jobs not expected to be in time, for lack of room.
+    /// Gauge: the longest time until work begins that can still be of use, over all kinds of room.
+    std::int64_t forecastDelayMs = 0;
     std::int64_t jobsKnown = 0; ///< Gauge.
     std::int64_t evacuatedDataCentres = 0; ///< Gauge.
     std::int64_t tasksWaiting = 0; ///< Gauge, as of the last dispatch.
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -4,6 +4,7 @@
 
 #include "former_list.h"
 #include "interference_model.h"
+#include "overload_control.h"
 #include "scheduler_core.h"
 #include "start_window.h"
 #include "unreported_workers.h"
@@ -150,6 +151,9 @@
     std::int64_t startsInFlight = 0; ///< Start commands without a result.
     start_window startWindow;
     std::vector<ready_step> ready; ///< Superset of the steps with waiting tasks.
+    /// Learned by this ownership.
+    std::map<room_kind, room_load> roomLoads;
+    instant nextTriageAt; ///< Next choice of jobs that are given up for now.
     std::map<task_name, room_claim> claims; ///< By the task for which the room is kept.
     instant nextEvacuationAt; ///< Next search of places for tasks on leaving workers.
     std::set<task_name> yieldingTasks; ///< Tasks whose current run yields to all others.
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -46,6 +46,7 @@
         unblockSteps(state, job, found->second);
         return;
     }
+    noteOccurrenceDone(state, job, found->second);
     job.finishOccurrence(name.occurrence);
     if (job.occurrencesDone == job.occurrenceCount())
         finishJob(state, job);
@@ -109,8 +110,11 @@
     const pending_completion pending{worker.info.id, worker.incarnationStartUnixMs,
                                      completion.number};
     const bool isContinuous = specOf(job, completion.task).isContinuous;
-    if (mayHaveRun(task))
+    if (mayHaveRun(task)) {
+        noteRunEnded(state, job, completion.task, task,
+                     completion.reason == completion_reason::done);
         unbindRun(state, completion.task, task);
+    }
     task.countedRun = std::max(task.countedRun, completion.run);
     task.lastRun = std::max(task.lastRun, completion.run);
     if (!completion.checkpoint.empty())
@@ -301,6 +305,7 @@
                                reason, run.isConfirmed);
         });
         task_state &task = *run.task;
+        noteRunEnded(state, *run.job, name, task, false);
         unbindRun(state, name, task);
         requeue(state, name, task);
         // The run may have ended when the worker fell silent, long before its lease lapsed.
