Learn run times of each queue, and judge jobs by them under overload

Change: policy/run_time_model regresses run times on estimates for each queue; critical paths, work and objectives follow from it.

--- a/packages/policy/admission.cpp
+++ b/packages/policy/admission.cpp
@@ -10,7 +10,8 @@
 /// Longest forecast, which also stands for "never".
 constexpr duration longestDelay = 600s;
 
-// Returns how long the room needs for the work.
+} // namespace
+
 duration timeFor(double work, double milliCores)
 {
     if (work <= 0)
@@ -20,8 +21,6 @@
     return duration(std::int64_t(1000 * std::min(ms, longestMs)));
 }
 
-} // namespace
-
 admission_decision decideAdmission(const admission_request &request,
                                    const admission_forecast &forecast)
 {
--- a/packages/policy/admission.h
+++ b/packages/policy/admission.h
@@ -10,6 +10,10 @@
 
 namespace crocuswind::policy {
 
+/// Returns how long room for \p milliCores of estimated work per time needs for \p work, which is
+/// in thousandths of a core times milliseconds; 600 s at most.
+duration timeFor(double work, double milliCores);
+
 /// What is known of the work that a new job would wait behind. Amounts of work are in thousandths
 /// of a core times milliseconds.
 struct admission_forecast
--- a/packages/policy/overload_triage.cpp
+++ b/packages/policy/overload_triage.cpp
@@ -23,7 +23,8 @@
 /// The share kept of each of these sizes, as a multiple of the share kept of all, at least.
 constexpr double minRelativeShare = 0.6;
 
-enum size_class { largest, large, other, sizeClasses };
+enum size_class { largest, large, other };
+constexpr int sizeClasses = 3;
 
 /// The jobs of one size class of a queue.
 struct job_class
--- a/packages/policy/policy.h
+++ b/packages/policy/policy.h
@@ -7,5 +7,6 @@
 #include "overload_triage.h"
 #include "retry_spread.h"
 #include "room_rate.h"
+#include "run_time_model.h"
 
 #endif
--- a/packages/scheduler/commit_log.cpp
+++ b/packages/scheduler/commit_log.cpp
@@ -1,5 +1,7 @@
 #include "commit_log.h"
 
+#include "run_times.h"
+
 #include "job_intake.h"
 #include "job_policy.h"
 #include "leaving_records.h"
@@ -188,6 +190,7 @@
 {
     job.number = ++state.lastJobNumber;
     job.acceptedAt = state.now - std::chrono::milliseconds(unixNowMs - job.acceptedUnixMs);
+    job.requestedAt = job.acceptedAt;
     if (job.finishedUnixMs != 0) {
         job.isFinishStored = true;
         state.expiringJobs.emplace_back(state.now + state.settings.keepEndedJobs, job.spec.name);
@@ -198,7 +201,7 @@
     job.policy.attemptLimit = queue_policy::unknownAttemptLimit;
     job.policy.queue = job.spec.queue;
     updatePolicy(state, job);
-    job.criticalPathsMs = computeCriticalPathsMs(job.spec);
+    job.criticalPathsMs = expectedCriticalPathsMs(state, job.spec);
     state.unstartedJobs.insert(job.spec.name);
     job.idleSince = job.hasStarted() ? state.now : job.acceptedAt;
     resumeOccurrences(state, job);
--- a/packages/scheduler/job_intake.cpp
+++ b/packages/scheduler/job_intake.cpp
@@ -1,6 +1,7 @@
 #include "job_intake.h"
 
 #include "commit_log.h"
+#include "run_times.h"
 #include "task_lifecycle.h"
 
 #include <algorithm>
@@ -49,11 +50,12 @@
     job->policy = policy;
     job->acceptedPolicy = policy;
     job->acceptedAt = state.now;
+    job->requestedAt = state.loadRefusals.requestedAt(call.name).value_or(state.now);
     job->idleSince = state.now;
     job->acceptedUnixMs = state.unixOffsetMs
         + std::chrono::duration_cast<std::chrono::milliseconds>(state.now.time_since_epoch())
               .count();
-    job->criticalPathsMs = computeCriticalPathsMs(job->spec);
+    job->criticalPathsMs = expectedCriticalPathsMs(state, job->spec);
     return job;
 }
 
@@ -107,6 +109,7 @@
     auto job = makeJob(state, call, policy->second);
     if (const auto refusal = refusalForLoad(state, *job)) {
         ++state.counters.refusedForLoad;
+        state.loadRefusals.record(call.name, state.now);
         refuse(state, call, refusal->reason, refusal->retryAfterMs, refusal->inputs);
         return;
     }
--- a/packages/scheduler/job_model.cpp
+++ b/packages/scheduler/job_model.cpp
@@ -141,10 +141,20 @@
 }
 
 std::vector<std::int64_t> computeCriticalPathsMs(const job_spec &spec)
+{
+    std::vector<std::int64_t> runMs;
+    runMs.reserve(spec.steps.size());
+    for (const step_spec &step : spec.steps)
+        runMs.push_back(step.expectedRunMs);
+    return computeCriticalPathsMs(spec, runMs);
+}
+
+std::vector<std::int64_t> computeCriticalPathsMs(const job_spec &spec,
+                                                 const std::vector<std::int64_t> &runMs)
 {
     std::vector<std::int64_t> paths(spec.steps.size());
     for (std::size_t step = spec.steps.size(); step-- > 0;) {
-        paths[step] += spec.steps[step].expectedRunMs;
+        paths[step] += runMs[step];
         for (int earlier : spec.steps[step].after) {
             std::int64_t &path = paths[std::size_t(earlier)];
             path = std::max(path, paths[step]);
--- a/packages/scheduler/job_model.h
+++ b/packages/scheduler/job_model.h
@@ -166,6 +166,10 @@
 /// longest chain of dependent steps that begins with it.
 std::vector<std::int64_t> computeCriticalPathsMs(const job_spec &spec);
 
+/// Returns the same for the given run time of each step, in milliseconds.
+std::vector<std::int64_t> computeCriticalPathsMs(const job_spec &spec,
+                                                 const std::vector<std::int64_t> &runMs);
+
 } // namespace crocuswind::scheduler
 
 #endif
--- a/packages/scheduler/job_record.cpp
+++ b/packages/scheduler/job_record.cpp
@@ -126,7 +126,7 @@
     const std::chrono::milliseconds span(
         std::int64_t(double(longest) * std::max(1.0, job.policy.stretch))
         + job.policy.objectiveSlackMs);
-    const instant from = job.spec.scheduledOccurrences > 0 ? occurrence.dueAt : job.acceptedAt;
+    const instant from = job.spec.scheduledOccurrences > 0 ? occurrence.dueAt : job.requestedAt;
     return {from + span, from + lateMultiple * span};
 }
 
--- a/packages/scheduler/job_record.h
+++ b/packages/scheduler/job_record.h
@@ -41,6 +41,8 @@
     std::vector<int> failedRuns; ///< Numbers of failed runs; each counts as one attempt.
     worker_id worker; ///< Worker of the current run; set from `starting` to `stopping`.
     std::string checkpoint; ///< Reference of the last checkpoint; empty if there is none.
+    /// How long its run took, if it is done by a whole run that this owner started; otherwise 0.
+    std::int64_t runMs = 0;
     instant runSince; ///< When the start command of the current run was sent, or it was adopted.
     /// Since when no run of the task is known, if it waits for one: the end of its last run, the
     /// last sign of a run that was given up, or the takeover.
@@ -103,7 +105,10 @@
     std::optional<queue_policy> acceptedPolicy;
     std::int64_t acceptedUnixMs = 0;
     instant acceptedAt;
-    std::vector<std::int64_t> criticalPathsMs; ///< For each step, see computeCriticalPathsMs().
+    /// When its caller asked first, if that was refused for load; otherwise `acceptedAt`.
+    /// Objectives count from then.
+    instant requestedAt;
+    std::vector<std::int64_t> criticalPathsMs; ///< For each step, see expectedCriticalPathsMs().
     std::int64_t number = 0; ///< Sequence number of acceptance within this ownership.
     bool isStored = false; ///< The specification is durable.
     bool isRecovered = false; ///< Accepted by an earlier owner.
--- a/packages/scheduler/overload_control.cpp
+++ b/packages/scheduler/overload_control.cpp
@@ -1,5 +1,6 @@
 #include "overload_control.h"
 
+#include "run_times.h"
 #include "scheduler_state.h"
 #include "worker_choice.h"
 
@@ -21,8 +22,16 @@
 /// Room counts as at least this share of the processors of the workers that may take tasks.
 constexpr double minShareOfCapacity = 0.05;
 
-/// Late work counts on at least this share of the room, however much is accepted meanwhile.
-constexpr double minShareForLate = 0.25;
+/// Jobs that are to be in time are chosen for this share of the room, because run times vary. Late
+/// work counts on the rest of it, however much is accepted meanwhile.
+constexpr double shareInTime = 0.9;
+
+/// An overload ends when all waiting work can be in time for so long.
+constexpr duration quietTime = 1s;
+
+/// For how long, and of how many jobs, refusals are remembered.
+constexpr duration refusalMemory = 120s;
+constexpr std::size_t maxRefusals = 10'000;
 
 /// The estimate of a critical path counts this many times.
 constexpr double pathMargin = 1.2;
@@ -48,16 +57,16 @@
     return state.roomLoads.try_emplace(kind, state.now).first->second;
 }
 
-double workOfTask(const step_spec &step)
+double workOfTask(const scheduler_state &state, const job_spec &spec, const step_spec &step)
 {
-    return double(step.size.milliCores) * double(step.expectedRunMs);
+    return double(step.size.milliCores) * usualRunMs(state, spec.queue, step);
 }
 
-double workOfJob(const job_spec &spec)
+double workOfJob(const scheduler_state &state, const job_spec &spec)
 {
     double work = 0;
     for (const step_spec &step : spec.steps)
-        work += double(step.count) * workOfTask(step);
+        work += double(step.count) * workOfTask(state, spec, step);
     return work;
 }
 
@@ -71,7 +80,8 @@
     bool hasBegun = false;
 };
 
-waiting_occurrence summarise(const job_record &job, occurrence_state &occurrence)
+waiting_occurrence summarise(const scheduler_state &state, const job_record &job,
+                             occurrence_state &occurrence)
 {
     waiting_occurrence summary{&job, &occurrence};
     std::int64_t criticalPathMs = 0;
@@ -81,7 +91,7 @@
             return task.phase == task_phase::waiting || task.phase == task_phase::blocked;
         });
         summary.hasBegun = summary.hasBegun || std::size_t(left) < tasks.size();
-        summary.work += double(left) * workOfTask(job.spec.steps[step]);
+        summary.work += double(left) * workOfTask(state, job.spec, job.spec.steps[step]);
         if (left > 0)
             criticalPathMs = std::max(criticalPathMs, job.criticalPathsMs[step]);
     }
@@ -100,7 +110,7 @@
         for (auto &[number, occurrence] : job->occurrences) {
             if (!occurrence.isReleased)
                 continue;
-            const waiting_occurrence summary = summarise(*job, occurrence);
+            const waiting_occurrence summary = summarise(state, *job, occurrence);
             if (summary.work > 0)
                 waiting.push_back(summary);
         }
@@ -160,16 +170,19 @@
             else
                 m_late.push_back(&w);
         }
-        const auto decision
-            = decide(candidates, job_prospect::in_time, {m_state.now, m_load.milliCores, 0});
+        const auto decision = decide(candidates, job_prospect::in_time,
+                                     {m_state.now, shareInTime * m_load.milliCores, 0});
         m_load.workInTime = decision.keptWork;
         for (std::size_t i = 0; i < candidates.size(); ++i) {
             set(*candidates[i], decision.isKept[i] ? job_prospect::in_time : job_prospect::late);
             if (!decision.isKept[i])
                 m_late.push_back(candidates[i]);
         }
-        m_load.givenUp = decision.givenUp;
-        m_load.isOverloaded = decision.givenUp > 0;
+        m_load.givenUp = m_late.size();
+        if (decision.givenUp > 0) {
+            m_load.isOverloaded = true;
+            m_load.overloadedUntil = m_state.now + quietTime;
+        }
     }
 
     // Chooses, of the others, those that can end while they are of use.
@@ -177,12 +190,19 @@
     {
         m_load.milliCoresForLate
             = std::max(m_load.milliCores - m_load.rate.acceptedMilliCores(m_state.now),
-                       minShareForLate * m_load.milliCores);
-        const auto decision = decide(m_late, job_prospect::late,
-                                     {m_state.now, m_load.milliCoresForLate, m_load.workInTime});
-        m_load.workInUse = decision.keptWork;
-        for (std::size_t i = 0; i < m_late.size(); ++i)
-            set(*m_late[i], decision.isKept[i] ? job_prospect::late : job_prospect::useless);
+                       (1 - shareInTime) * m_load.milliCores);
+        const auto decision
+            = decide(m_late, job_prospect::late,
+                     {m_state.now + policy::timeFor(m_load.workInTime, m_load.milliCores),
+                      m_load.milliCoresForLate, 0});
+        m_load.workInUse = m_load.workInTime;
+        for (std::size_t i = 0; i < m_late.size(); ++i) {
+            const waiting_occurrence &w = *m_late[i];
+            set(w, decision.isKept[i] ? job_prospect::late : job_prospect::useless);
+            const instant end = m_state.now + w.criticalPath;
+            if (end <= objectiveOf(*w.job, *w.occurrence).lateUntil)
+                m_load.workInUse += w.work;
+        }
     }
 
     policy::triage_decision decide(const std::vector<waiting_occurrence *> &candidates,
@@ -199,7 +219,7 @@
             job.latestStart = (aim == job_prospect::in_time ? objective.at : objective.lateUntil)
                 - w->criticalPath;
             job.work = w->work;
-            job.size = workOfJob(w->job->spec);
+            job.size = workOfJob(m_state, w->job->spec);
             job.hasBegun = w->hasBegun;
             job.wasGivenUp = w->occurrence->prospect > aim;
             jobs.push_back(job);
@@ -260,28 +280,49 @@
                     load.workInUse / std::max(1.0, load.milliCores), load.givenUp));
 }
 
+// Lets all jobs wait in the usual order again.
+void endOverload(room_load &load, const std::vector<waiting_occurrence> &waiting)
+{
+    for (const waiting_occurrence &w : waiting)
+        w.occurrence->prospect = job_prospect::in_time;
+    load.isOverloaded = false;
+}
+
 void triage(scheduler_state &state, const room_kind &kind, bool isShort)
 {
     room_load &load = loadOf(state, kind);
     const bool wasOverloaded = load.isOverloaded;
+    load.givenUp = 0;
     if (!isShort && !wasOverloaded)
         return;
     load.milliCores = roomFor(state, kind, load);
-    std::vector<waiting_occurrence> waiting = waitingOccurrences(state, kind);
-    if (isShort) {
-        triage_pass(state, load, std::move(waiting)).run();
-    } else {
-        for (const waiting_occurrence &w : waiting)
-            w.occurrence->prospect = job_prospect::in_time;
-        load.isOverloaded = false;
-        load.givenUp = 0;
-    }
+    if (isShort)
+        triage_pass(state, load, waitingOccurrences(state, kind)).run();
+    if (load.isOverloaded && state.now >= load.overloadedUntil)
+        endOverload(load, waitingOccurrences(state, kind));
     if (load.isOverloaded != wasOverloaded)
         logChange(state, kind, load);
 }
 
 } // namespace
 
+void load_refusals::record(const job_name &name, instant now)
+{
+    if (m_requestedAt.try_emplace(name, now).second)
+        m_order.emplace_back(now, name);
+    while (!m_order.empty()
+           && (m_order.front().first + refusalMemory < now || m_order.size() > maxRefusals)) {
+        m_requestedAt.erase(m_order.front().second);
+        m_order.pop_front();
+    }
+}
+
+std::optional<instant> load_refusals::requestedAt(const job_name &name) const
+{
+    const auto found = m_requestedAt.find(name);
+    return found == m_requestedAt.end() ? std::nullopt : std::optional<instant>(found->second);
+}
+
 void triageWaitingJobs(scheduler_state &state)
 {
     if (state.now < state.nextTriageAt || state.now < state.tookOverAt + learningTime)
@@ -302,6 +343,12 @@
     }
 }
 
+bool isOverloaded(const scheduler_state &state, const job_record &job)
+{
+    const auto found = state.roomLoads.find(kindOf(job.spec, job.policy));
+    return found != state.roomLoads.end() && found->second.isOverloaded;
+}
+
 void noteRunEnded(scheduler_state &state, const job_record &job, const task_name &name,
                   const task_state &task, bool isDone)
 {
@@ -310,14 +357,14 @@
         return;
     loadOf(state, kindOf(job.spec, job.policy))
         .rate.recordEnd(state.now, step.size.milliCores, state.now - task.runSince,
-                        step.expectedRunMs, isDone);
+                        std::int64_t(usualRunMs(state, job.spec.queue, step)), isDone);
 }
 
 void noteAccepted(scheduler_state &state, const job_record &job)
 {
     if (isContinuous(job.spec))
         return;
-    const double work = workOfJob(job.spec);
+    const double work = workOfJob(state, job.spec);
     room_load &load = loadOf(state, kindOf(job.spec, job.policy));
     load.rate.recordAccepted(state.now, work);
     // Until the next decision, further jobs wait behind this one, too.
@@ -349,13 +396,15 @@
     request.usefulUntil = objective.at;
     if (decideAdmission(request, forecast).isAccepted)
         return std::nullopt;
+    // Work that is to be in time goes first, and the rest of the room does what is late.
+    forecast.now += policy::timeFor(load.workInTime, load.milliCores);
     forecast.milliCores = load.milliCoresForLate;
-    forecast.workAhead = load.workInUse;
+    forecast.workAhead = load.workInUse - load.workInTime;
     request.usefulUntil = objective.lateUntil;
     const policy::admission_decision decision = decideAdmission(request, forecast);
     if (decision.isAccepted)
         return std::nullopt;
-    const duration delay = decision.retryAt - state.now;
+    const duration delay = decision.retryAt - forecast.now;
     return load_refusal{
         "too little room to run the job while it is of use",
         fmt::format(" priority={} room_millicores={:.0f} for_late_millicores={:.0f} "
--- a/packages/scheduler/overload_control.h
+++ b/packages/scheduler/overload_control.h
@@ -10,15 +10,33 @@
 #include "job_record.h"
 #include "policy/policy.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 #include <tuple>
+#include <utility>
 
 namespace crocuswind::scheduler {
 
 struct scheduler_state;
 
+/// When jobs were first refused for load. The time of a caller who comes back counts from there, or
+/// else those that were refused would take the room of others that have as little time left.
+class load_refusals
+{
+public:
+    /// Notes that the job was refused, and forgets what was noted long ago.
+    void record(const job_name &name, instant now);
+
+    /// Returns when the job was first refused, or nothing.
+    std::optional<instant> requestedAt(const job_name &name) const;
+
+private:
+    std::map<job_name, instant> m_requestedAt;
+    std::deque<std::pair<instant, job_name>> m_order;
+};
+
 /// Identifies work that shares room: work that reserves processors, or best-effort work, of a
 /// service.
 struct room_kind
@@ -40,10 +58,11 @@
     { }
 
     policy::room_rate rate;
-    bool isOverloaded = false; ///< Jobs are given up for now.
+    bool isOverloaded = false; ///< Jobs are given up for now, or were until recently.
+    instant overloadedUntil; ///< Unless jobs are given up again.
     double milliCores = 0; ///< Estimated work that can start per time.
     double workInTime = 0; ///< Work of the jobs that are to be in time.
-    double workInUse = 0; ///< Also of those that are to be late but of use.
+    double workInUse = 0; ///< Also of those that are late and may still be of use.
     double meanWork = 0; ///< Of a job that waits.
     /// Estimated work per time that jobs can count on which are not to be in time.
     double milliCoresForLate = 0;
@@ -54,6 +73,9 @@
 /// are ordered, while `ready` tells which steps found no worker.
 void triageWaitingJobs(scheduler_state &state);
 
+/// Returns true if there is too little room for work like the job's.
+bool isOverloaded(const scheduler_state &state, const job_record &job);
+
 /// Records that a run of the finite task, bound since `task.runSince`, has ended.
 void noteRunEnded(scheduler_state &state, const job_record &job, const task_name &name,
                   const task_state &task, bool isDone);
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -10,6 +10,7 @@
 #include "leaving_records.h"
 #include "occurrences.h"
 #include "pace_control.h"
+#include "run_times.h"
 #include "scheduler_state.h"
 #include "silent_workers.h"
 #include "task_lifecycle.h"
@@ -108,6 +109,7 @@
         state.unstartedJobs.clear();
         state.ready.clear();
         state.roomLoads.clear();
+        state.loadRefusals = {};
         state.counters.jobsGivenUp = 0;
         state.counters.forecastDelayMs = 0;
         state.claims.clear();
@@ -412,6 +414,7 @@
     i.state.counters.jobsKnown = std::int64_t(i.state.jobs.size());
     i.state.counters.jobsUncommitted = std::int64_t(i.state.dirtyJobs.size());
     i.state.counters.workersUnreported = std::int64_t(i.state.unreportedWorkers.size());
+    updateCriticalPaths(i.state);
     dispatch(i.state);
     evacuateWorkers(i.state);
     logAbsentTasks(i.state);
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -143,6 +143,9 @@
 
     /// Kept when the ownership changes, because images behave alike on all workers.
     interference_model interference;
+    /// Likewise kept, because a queue's jobs go on as they were.
+    std::map<queue_id, policy::run_time_model> runTimes;
+    instant nextPathUpdateAt; ///< Next update of the critical paths of jobs.
     std::vector<interfering_share> shares; ///< Reusable buffer for the shares of one worker.
 
     // Dispatch.
@@ -153,6 +156,7 @@
     std::vector<ready_step> ready; ///< Superset of the steps with waiting tasks.
     /// Learned by this ownership.
     std::map<room_kind, room_load> roomLoads;
+    load_refusals loadRefusals; ///< By this owner.
     instant nextTriageAt; ///< Next choice of jobs that are given up for now.
     std::map<task_name, room_claim> claims; ///< By the task for which the room is kept.
     instant nextEvacuationAt; ///< Next search of places for tasks on leaving workers.
--- a/packages/scheduler/task_lifecycle.cpp
+++ b/packages/scheduler/task_lifecycle.cpp
@@ -3,6 +3,7 @@
 #include "commit_log.h"
 #include "occurrences.h"
 #include "run_binding.h"
+#include "run_times.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -42,6 +43,7 @@
     const auto found = job.occurrences.find(name.occurrence);
     if (!found->second.isStepDone(name.step))
         return;
+    learnRunTimes(state, job, found->second, name.step);
     if (!found->second.isDone()) {
         unblockSteps(state, job, found->second);
         return;
@@ -111,6 +113,8 @@
                                      completion.number};
     const bool isContinuous = specOf(job, completion.task).isContinuous;
     if (mayHaveRun(task)) {
+        if (completion.reason == completion_reason::done && !isContinuous)
+            noteRunTime(state, job, task);
         noteRunEnded(state, job, completion.task, task,
                      completion.reason == completion_reason::done);
         unbindRun(state, completion.task, task);
