Refuse only what is certainly of no use

Cause: the forecast of late work counted on the part of the room that new work would leave.

Change: work in time is chosen for 0.8 of the room, and its test in admission counts on the same; late work counts on all the room behind it.

--- a/packages/scheduler/overload_control.cpp
+++ b/packages/scheduler/overload_control.cpp
@@ -22,9 +22,11 @@
 /// Room counts as at least this share of the processors of the workers that may take tasks.
 constexpr double minShareOfCapacity = 0.05;
 
-/// Jobs that are to be in time are chosen for this share of the room, because run times vary. Late
-/// work counts on the rest of it, however much is accepted meanwhile.
-constexpr double shareInTime = 0.9;
+/// Jobs that are to be in time are chosen for this share of the room, because run times vary.
+constexpr double shareInTime = 0.8;
+
+/// Late work counts on at least this share of the room, however much is accepted meanwhile.
+constexpr double minShareForLate = 1.0;
 
 /// An overload ends when all waiting work can be in time for so long.
 constexpr duration quietTime = 1s;
@@ -190,7 +192,7 @@
     {
         m_load.milliCoresForLate
             = std::max(m_load.milliCores - m_load.rate.acceptedMilliCores(m_state.now),
-                       (1 - shareInTime) * m_load.milliCores);
+                       minShareForLate * m_load.milliCores);
         const auto decision
             = decide(m_late, job_prospect::late,
                      {m_state.now + policy::timeFor(m_load.workInTime, m_load.milliCores),
@@ -391,7 +393,7 @@
     policy::admission_forecast forecast;
     forecast.now = state.now;
     forecast.isKnown = state.now >= state.tookOverAt + learningTime;
-    forecast.milliCores = load.milliCores;
+    forecast.milliCores = shareInTime * load.milliCores;
     forecast.workAhead = load.workInTime;
     request.usefulUntil = objective.at;
     if (decideAdmission(request, forecast).isAccepted)
