--- a/packages/scheduler/overload_control.cpp
+++ b/packages/scheduler/overload_control.cpp
@@ -25,9 +25,6 @@
 /// Jobs that are to be in time are chosen for this share of the room, because run times vary.
 constexpr double shareInTime = 0.8;
 
-/// Late work counts on at least this share of the room, however much is accepted meanwhile.
-constexpr double minShareForLate = 1.0;
-
 /// An overload ends when all waiting work can be in time for so long.
 constexpr duration quietTime = 1s;
 
@@ -190,13 +187,10 @@
     // Chooses, of the others, those that can end while they are of use.
     void decideLate()
     {
-        m_load.milliCoresForLate
-            = std::max(m_load.milliCores - m_load.rate.acceptedMilliCores(m_state.now),
-                       minShareForLate * m_load.milliCores);
         const auto decision
             = decide(m_late, job_prospect::late,
                      {m_state.now + policy::timeFor(m_load.workInTime, m_load.milliCores),
-                      m_load.milliCoresForLate, 0});
+                      m_load.milliCores, 0});
         m_load.workInUse = m_load.workInTime;
         for (std::size_t i = 0; i < m_late.size(); ++i) {
             const waiting_occurrence &w = *m_late[i];
@@ -265,9 +259,7 @@
 // Returns when the last of the work that can be of use begins, in milliseconds from now.
 std::int64_t delayMs(const room_load &load)
 {
-    const double forLate
-        = std::max(0.0, load.workInUse - load.workInTime) / std::max(1.0, load.milliCoresForLate);
-    return std::int64_t(load.workInTime / std::max(1.0, load.milliCores) + forLate);
+    return std::int64_t(load.workInUse / std::max(1.0, load.milliCores));
 }
 
 void logChange(const scheduler_state &state, const room_kind &kind, const room_load &load)
@@ -398,9 +390,9 @@
     request.usefulUntil = objective.at;
     if (decideAdmission(request, forecast).isAccepted)
         return std::nullopt;
-    // Work that is to be in time goes first, and the rest of the room does what is late.
+    // Late work goes behind all that is to be in time.
     forecast.now += policy::timeFor(load.workInTime, load.milliCores);
-    forecast.milliCores = load.milliCoresForLate;
+    forecast.milliCores = load.milliCores;
     forecast.workAhead = load.workInUse - load.workInTime;
     request.usefulUntil = objective.lateUntil;
     const policy::admission_decision decision = decideAdmission(request, forecast);
@@ -409,12 +401,11 @@
     const duration delay = decision.retryAt - forecast.now;
     return load_refusal{
         "too little room to run the job while it is of use",
-        fmt::format(" priority={} room_millicores={:.0f} for_late_millicores={:.0f} "
+        fmt::format(" priority={} room_millicores={:.0f} "
                     "in_time_millicore_ms={:.0f} in_use_millicore_ms={:.0f} chain_ms={} "
                     "useful_ms={} expected_ms={}",
-                    job.policy.priority, load.milliCores, load.milliCoresForLate, load.workInTime,
-                    load.workInUse, pathMs, toMs(objective.lateUntil - state.now),
-                    toMs(decision.expectedEnd - state.now)),
+                    job.policy.priority, load.milliCores, load.workInTime, load.workInUse, pathMs,
+                    toMs(objective.lateUntil - state.now), toMs(decision.expectedEnd - state.now)),
         1000 * policy::spreadRetrySeconds(delay, job.spec.name.value)};
 }
 
--- a/packages/scheduler/overload_control.h
+++ b/packages/scheduler/overload_control.h
@@ -64,8 +64,6 @@
     double workInTime = 0; ///< Work of the jobs that are to be in time.
     double workInUse = 0; ///< Also of those that are late and may still be of use.
     double meanWork = 0; ///< Of a job that waits.
-    /// Estimated work per time that jobs can count on which are not to be in time.
-    double milliCoresForLate = 0;
     std::size_t givenUp = 0; ///< Number of jobs that are not expected to be in time.
 };
 
