Keep work given up for now before continuous work

Cause: with all room held by continuous tasks, the room of finite work seems to be nothing, and a short job in time was given up behind them for good (scheduler_jobs_test, StartsShortJobsThatAreInTimeBeforeContinuousTasks).

Change: what is given up goes behind work in time and before continuous work.

--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -71,7 +71,7 @@
 constexpr std::size_t minYieldingRuns = 4;
 
 /// Whether a job can still meet its objective, in the order in which steps are dispatched.
-enum class deadline_outlook { interrupted, in_time, continuous, given_up, late, expired };
+enum class deadline_outlook { interrupted, in_time, given_up, continuous, late, expired };
 
 // The dispatch order of steps. Steps that can still meet their objective come before those that
 // cannot: under overload, oldest-first order would make every job late. Continuous steps come in
@@ -125,10 +125,11 @@
 // Returns the outlook of a finite step, given what is expected of its job under the present load.
 deadline_outlook underOverload(deadline_outlook outlook, job_prospect prospect)
 {
-    if (prospect == job_prospect::useless)
-        return deadline_outlook::expired;
-    const bool isGivenUp = prospect == job_prospect::late && outlook == deadline_outlook::in_time;
-    return isGivenUp ? deadline_outlook::given_up : outlook;
+    if (prospect == job_prospect::in_time)
+        return outlook;
+    if (outlook == deadline_outlook::in_time)
+        return deadline_outlook::given_up;
+    return prospect == job_prospect::useless ? deadline_outlook::expired : outlook;
 }
 
 dispatch_rank rankOf(const scheduler_state &state, const ready_step &step,
