--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -65,8 +65,13 @@
 /// Maximum number of tasks of starved jobs that are started in one pass.
 constexpr int maxStarvedStartsPerPass = 4;
 
+/// While there is too little room, at most one run in this many workers yields, but always
+/// `minYieldingRuns` may.
+constexpr std::size_t workersPerYieldingRun = 16;
+constexpr std::size_t minYieldingRuns = 4;
+
 /// Whether a job can still meet its objective, in the order in which steps are dispatched.
-enum class deadline_outlook { interrupted, in_time, continuous, late, expired };
+enum class deadline_outlook { interrupted, in_time, given_up, continuous, late, expired };
 
 // The dispatch order of steps. Steps that can still meet their objective come before those that
 // cannot: under overload, oldest-first order would make every job late. Continuous steps come in
@@ -124,11 +129,22 @@
     return since;
 }
 
+// Returns the outlook of a finite step, given what is expected of its job under the present load.
+deadline_outlook underOverload(deadline_outlook outlook, job_prospect prospect)
+{
+    if (prospect == job_prospect::in_time)
+        return outlook;
+    if (outlook == deadline_outlook::in_time)
+        return deadline_outlook::given_up;
+    return prospect == job_prospect::useless ? deadline_outlook::expired : outlook;
+}
+
 dispatch_rank rankOf(const scheduler_state &state, const ready_step &step,
                      const std::vector<task_state> &tasks)
 {
     const job_record &job = *step.job;
-    const job_objective objective = objectiveOf(job, job.occurrences.at(step.occurrence));
+    const occurrence_state &occurrence = job.occurrences.at(step.occurrence);
+    const job_objective objective = objectiveOf(job, occurrence);
     const std::int64_t criticalPathMs = job.criticalPathsMs[std::size_t(step.step)];
     const instant endsAt = state.now
         + std::chrono::milliseconds(std::int64_t(double(criticalPathMs) * estimateMargin));
@@ -139,6 +155,7 @@
         outlook = deadline_outlook::continuous;
     } else if (endsAt > objective.at)
         outlook = endsAt > objective.lateUntil ? deadline_outlook::expired : deadline_outlook::late;
+    outlook = underOverload(outlook, occurrence.prospect);
     return {outlook, job.policy.priority, objective.at - std::chrono::milliseconds(criticalPathMs),
             job.number};
 }
@@ -225,6 +242,7 @@
             m_state.nextUtilisationAt
                 = m_state.now + policy::fullScanInterval(std::int64_t(m_state.workers.size()));
         }
+        triageWaitingJobs(m_state);
         startClaimed();
         const int claimedStarts = m_starts;
         const std::vector<ordered_step> steps = orderSteps(m_state);
@@ -292,13 +310,22 @@
         return starved;
     }
 
+    // Returns true if the step waits because of an overload and enough runs yield already. Each run
+    // takes room in the end that work in time could have had.
+    bool mayNotYield(const ordered_step &ordered) const
+    {
+        const std::size_t most = std::max<std::size_t>(
+            minYieldingRuns, m_state.workers.size() / workersPerYieldingRun);
+        return m_state.yieldingTasks.size() >= most && isOverloaded(m_state, *ordered.step.job);
+    }
+
     // Starts one task of each starved job, in order. Best-effort tasks yield to all others.
     void startStarved(const std::vector<const ordered_step *> &starved)
     {
         const int maxStarts = m_maxStarts;
         const int last = std::min(maxStarts, m_starts + maxStarvedStartsPerPass);
         for (const ordered_step *step : starved) {
-            if (step->step.job->boundRuns > 0)
+            if (step->step.job->boundRuns > 0 || mayNotYield(*step))
                 continue;
             m_maxStarts = std::min(m_starts + 1, last);
             startTasks(*step, true);
--- a/packages/scheduler/job_intake.cpp
+++ b/packages/scheduler/job_intake.cpp
@@ -1,6 +1,7 @@
 #include "job_intake.h"
 
 #include "commit_log.h"
+#include "run_times.h"
 #include "task_lifecycle.h"
 
 #include <algorithm>
@@ -26,12 +27,12 @@
 }
 
 void refuse(scheduler_state &state, const job_call &call, const std::string &reason,
-            std::int64_t retryAfterMs)
+            std::int64_t retryAfterMs, const std::string &inputs = {})
 {
     ++state.counters.refused;
     state.ports.log("job_refused",
-                    fmt::format("job={} queue={} retry_after_ms={} reason=\"{}\"", call.name.value,
-                                call.queue.value, retryAfterMs, reason));
+                    fmt::format("job={} queue={} retry_after_ms={} reason=\"{}\"{}",
+                                call.name.value, call.queue.value, retryAfterMs, reason, inputs));
     job_reply reply;
     reply.token = call.token;
     reply.outcome = job_outcome::refused;
@@ -40,19 +41,28 @@
     state.ports.answer(reply);
 }
 
-void accept(scheduler_state &state, const job_call &call, const queue_policy &policy)
+// Returns the record of a job that is not accepted yet.
+std::unique_ptr<job_record> makeJob(const scheduler_state &state, const job_call &call,
+                                    const queue_policy &policy)
 {
     auto job = std::make_unique<job_record>();
     job->spec = *call.spec;
     job->policy = policy;
     job->acceptedPolicy = policy;
     job->acceptedAt = state.now;
+    job->requestedAt = state.loadRefusals.requestedAt(call.name).value_or(state.now);
     job->idleSince = state.now;
     job->acceptedUnixMs = state.unixOffsetMs
         + std::chrono::duration_cast<std::chrono::milliseconds>(state.now.time_since_epoch())
               .count();
+    job->criticalPathsMs = expectedCriticalPathsMs(state, job->spec);
+    return job;
+}
+
+void accept(scheduler_state &state, const job_call &call, std::unique_ptr<job_record> job)
+{
     job->number = ++state.lastJobNumber;
-    job->criticalPathsMs = computeCriticalPathsMs(job->spec);
+    noteAccepted(state, *job);
     ++state.counters.accepted;
     state.logDetail("job_accepted", [&] {
         return fmt::format("job={} queue={} steps={} chain_ms={}", call.name.value,
@@ -96,7 +106,14 @@
         refuse(state, call, storeReason, storeRetryMs);
         return;
     }
-    accept(state, call, policy->second);
+    auto job = makeJob(state, call, policy->second);
+    if (const auto refusal = refusalForLoad(state, *job)) {
+        ++state.counters.refusedForLoad;
+        state.loadRefusals.record(call.name, state.now);
+        refuse(state, call, refusal->reason, refusal->retryAfterMs, refusal->inputs);
+        return;
+    }
+    accept(state, call, std::move(job));
 }
 
 bool isBeingCommitted(const scheduler_state &state, const job_name &name)
