Forecast the load of serving steps for paces and starts

Cause: tasks of one step swing together, steps of one image do not. The owner took one load for all tasks of an image on a worker, from the mean of their latencies, with a lag of 2 s; a worker has up to ten such tasks, so the one at its peak was over its target while the mean was low.

Paces and starts use the task with the highest load ahead; paces are lowered as a run begins; cuts follow the interference that the latency shows; interference is learned against the load that several workers show. Lines load_forecast and over_target once a second, three metrics.

--- a/packages/jobs/job_metrics.cpp
+++ b/packages/jobs/job_metrics.cpp
@@ -20,6 +20,7 @@
         {"crocuswind_stops_total", c.stops},
         {"crocuswind_worker_polls_total", c.polls},
         {"crocuswind_pace_orders_total", c.paces},
+        {"crocuswind_serving_over_target_milliseconds_total", c.servingOverTargetMs},
         {"crocuswind_commits_total", c.commits},
         {"crocuswind_tasks_done_total", c.completionsDone},
         {"crocuswind_tasks_failed_total", c.completionsFailed},
@@ -36,6 +37,8 @@
     metrics.set("crocuswind_relays", {}, double(workers.relayCount()));
     metrics.set("crocuswind_owner", {}, core.isOwner() ? 1 : 0);
     metrics.set("crocuswind_jobs_known", {}, double(c.jobsKnown));
+    metrics.set("crocuswind_load_forecasts_usable", {}, double(c.forecastsUsable));
+    metrics.set("crocuswind_load_forecast_error", {}, c.forecastError);
     metrics.set("crocuswind_tasks_waiting", {}, double(c.tasksWaiting));
     metrics.set("crocuswind_evacuated_data_centres", {}, double(c.evacuatedDataCentres));
 }
--- a/packages/scheduler/interference_model.cpp
+++ b/packages/scheduler/interference_model.cpp
@@ -28,6 +28,8 @@
 /// limit is a ratio and not a utilisation, because images differ in how close their unloaded
 /// latency is to their target: one utilisation for all images would exceed the target of some.
 constexpr double targetRatio = 0.75;
+/// The same where the load to come is forecast, which needs less margin.
+constexpr double targetRatioWithForecast = 0.85;
 
 /// Upper bound of the estimated utilisation. Beyond it, latency shows only that the task is
 /// overloaded.
@@ -37,6 +39,8 @@
 constexpr double loadGain = 0.25;
 constexpr double typicalLoadGain = 0.02;
 constexpr double coefficientGain = 0.2;
+/// The same where the load is known from many workers.
+constexpr double coefficientGainWithSharedLoad = 0.3;
 /// Regularisation of the normalised step: without it, the whole error would be attributed to tiny
 /// shares.
 constexpr double shareRegularisation = 0.01;
@@ -77,9 +81,10 @@
     return m_serving[std::size_t(serving)].lowRatio * (1 - utilisationAtLowRatio);
 }
 
-double interference_model::targetUtilisation(int serving) const
+double interference_model::targetUtilisation(int serving, bool isForecast) const
 {
-    return std::max(0.0, 1 - unloadedRatio(serving) / targetRatio);
+    const double ratio = isForecast ? targetRatioWithForecast : targetRatio;
+    return std::max(0.0, 1 - unloadedRatio(serving) / ratio);
 }
 
 double interference_model::utilisation(int serving, double latencyRatio) const
@@ -147,7 +152,7 @@
 }
 
 double interference_model::observe(int serving, double latencyRatio, double load,
-                                   const std::vector<interfering_share> &shares)
+                                   const std::vector<interfering_share> &shares, bool isLoadShared)
 {
     serving_record &record = m_serving[std::size_t(serving)];
     record.lowRatio
@@ -157,10 +162,11 @@
     double squares = shareRegularisation;
     for (const interfering_share &s : shares)
         squares += s.share * s.share;
+    const double gain = isLoadShared ? coefficientGainWithSharedLoad : coefficientGain;
     for (const interfering_share &s : shares) {
         double &coefficient = knownCoefficient(s.bestEffort, serving);
-        coefficient = std::clamp(coefficient + coefficientGain * error * s.share / squares, 0.0,
-                                 maxCoefficient);
+        coefficient
+            = std::clamp(coefficient + gain * error * s.share / squares, 0.0, maxCoefficient);
     }
     const double corrected = std::clamp(load + loadGain * error, 0.0, maxLoad);
     record.typicalLoad += typicalLoadGain * (corrected - record.typicalLoad);
--- a/packages/scheduler/interference_model.h
+++ b/packages/scheduler/interference_model.h
@@ -38,8 +38,9 @@
     double utilisation(int serving, double latencyRatio) const;
 
     /// Returns the utilisation at which the tail latency of \p serving reaches the fraction of its
-    /// latency target up to which best-effort tasks may raise it.
-    double targetUtilisation(int serving) const;
+    /// latency target up to which best-effort tasks may raise it. The fraction is higher if the
+    /// load to come is forecast.
+    double targetUtilisation(int serving, bool isForecast = false) const;
 
     /// Returns the utilisation that \p bestEffort would add to \p serving if it used all processors
     /// of a worker.
@@ -57,9 +58,10 @@
 
     /// Updates the model with an observation: tasks of \p serving had \p latencyRatio while the
     /// best-effort images used \p shares. \p load is the previous estimate of the load of these
-    /// tasks without interference. Returns the updated estimate.
+    /// tasks without interference, and \p isLoadShared tells that many workers have shown it, so
+    /// that the rest is interference for certain. Returns the updated estimate.
     double observe(int serving, double latencyRatio, double load,
-                   const std::vector<interfering_share> &shares);
+                   const std::vector<interfering_share> &shares, bool isLoadShared = false);
 
     /// Returns the best-effort images that were observed together with serving tasks.
     const std::set<std::string> &bestEffortImages() const { return m_bestEffortImages; }
--- a/packages/scheduler/pace_control.cpp
+++ b/packages/scheduler/pace_control.cpp
@@ -3,6 +3,7 @@
 #include "discovery_age.h"
 #include "disruption_budget.h"
 #include "fair_share.h"
+#include "serving_load.h"
 #include "task_lifecycle.h"
 #include "worker_chooser.h"
 #include "yielding_runs.h"
@@ -37,8 +38,9 @@
 constexpr int slowPacePercent = 60;
 constexpr duration slowLimit = 800ms;
 
-/// A serving task over its target for this time is logged with each report, beside best effort.
-constexpr duration loggedTimeOverTarget = 1500ms;
+/// A report shows for this time at most, and for not longer than since the last one, whether a
+/// serving task was over its target.
+constexpr duration longestTimeOfReport = 1s;
 
 /// Maximum number of runs moved away from a worker per report.
 constexpr int maxMovesPerReport = 4;
@@ -55,6 +57,7 @@
         serving.latencyRatio = 0;
         serving.meanRatio = 0;
         serving.working = 0;
+        serving.overTarget = 0;
     }
     for (auto &[image, bestEffort] : worker.bestEffort)
         bestEffort.usedShare = 0;
@@ -63,13 +66,17 @@
         if (run.bestEffort != nullptr)
             run.bestEffort->usedShare += double(task.measurement) / capacityOf(worker);
         // A task that is still starting up has few users, so its latency is not representative.
-        if (run.serving != nullptr && task.progressPercent == 100) {
+        if (run.serving != nullptr && task.progressPercent == 100 && task.measurement > 0) {
             serving_image &serving = *run.serving;
             const double ratio = double(task.measurement) / double(run.step->latencyTargetMs);
             serving.latencyRatio = std::max(serving.latencyRatio, ratio);
-            serving.meanRatio += (ratio - serving.meanRatio) / ++serving.working;
+            serving.meanRatio += 1 / ratio; // The sum of the inverse ratios, until the loop ends.
+            ++serving.working;
+            serving.overTarget += ratio > overTargetRatio ? 1 : 0;
         }
     }
+    for (auto &[image, serving] : worker.serving)
+        serving.meanRatio = serving.working > 0 ? serving.working / serving.meanRatio : 0;
 }
 
 // Returns pace and used share of each best-effort image on the worker, as text.
@@ -82,25 +89,26 @@
     return text;
 }
 
-// Notes since when serving tasks are over their target, and logs those that are for long.
+// Counts the time for which serving tasks beside best-effort tasks are over their target, up to the
+// worker's latest report, and notes the worst report for the log.
 void noteTimeOverTarget(scheduler_state &state, worker_record &worker)
 {
-    for (auto &[image, serving] : worker.serving) {
-        if (serving.latencyRatio <= overTargetRatio) {
-            serving.overTargetSince.reset();
+    const duration time = std::min(state.now - worker.targetsCheckedAt, longestTimeOfReport);
+    worker.targetsCheckedAt = state.now;
+    for (const auto &[image, serving] : worker.serving) {
+        if (serving.overTarget == 0 || worker.bestEffort.empty())
             continue;
-        }
-        serving.overTargetSince = serving.overTargetSince.value_or(state.now);
-        const duration time = state.now - *serving.overTargetSince;
-        if (time < loggedTimeOverTarget || worker.bestEffort.empty())
+        state.counters.servingOverTargetMs += serving.overTarget * (time / 1ms);
+        over_target_summary &summary = state.overTarget;
+        summary.taskMs += serving.overTarget * (time / 1ms);
+        ++summary.workers;
+        if (serving.latencyRatio <= summary.worstRatio)
             continue;
-        state.logDetail("over_target", [&, &image = image, &serving = serving] {
-            return fmt::format("worker={} image={} over_ms={} latency_ratio={:.2f} load={:.2f} "
-                               "pressure={:.2f} best_effort={}",
-                               worker.info.id.value, image, time / 1ms, serving.latencyRatio,
-                               serving.load, bestEffortPressure(worker),
-                               describeBestEffort(worker));
-        });
+        summary.worstRatio = serving.latencyRatio;
+        summary.worst = fmt::format("worker={} image={} latency_ratio={:.2f} load={:.2f} "
+                                    "pressure={:.2f} best_effort={}",
+                                    worker.info.id.value, image, serving.latencyRatio, serving.load,
+                                    bestEffortPressure(worker), describeBestEffort(worker));
     }
 }
 
@@ -129,22 +137,14 @@
 
 void learn(scheduler_state &state, worker_record &worker)
 {
-    const auto &shares = usedShares(state, worker);
-    for (auto &[image, serving] : worker.serving) {
-        if (serving.meanRatio <= 0)
-            continue;
-        if (!serving.isLoadKnown) {
-            serving.load = state.interference.typicalLoad(serving.image);
-            serving.isLoadKnown = true;
-        }
-        serving.load
-            = state.interference.observe(serving.image, serving.meanRatio, serving.load, shares);
-    }
+    usedShares(state, worker);
+    learnServingLoads(state, worker);
 }
 
-double headroom(const interference_model &model, int serving, double load)
+// Returns the utilisation that best-effort tasks may add at the given load.
+double headroom(const interference_model &model, const serving_image &serving, double load)
 {
-    return std::max(minHeadroom, model.targetUtilisation(serving) - load);
+    return std::max(minHeadroom, model.targetUtilisation(serving.image, serving.isForecast) - load);
 }
 
 // Returns the utilisation that each best-effort image of the worker would add to the serving image
@@ -187,6 +187,16 @@
     }
 }
 
+// Returns the factor by which the interference with a serving image over its target has to change,
+// from the interference that the latency shows to what the load to expect leaves room for.
+double cutOverTarget(const interference_model &model, const serving_image &serving)
+{
+    const double shown
+        = model.utilisation(serving.image, serving.latencyRatio) - serving.presumedLoad;
+    const double room = headroom(model, serving, serving.loadSoon);
+    return shown <= room ? overTargetCut : std::min(overTargetCut, room / shown);
+}
+
 // Returns the paces at which the interference stays within the headroom of each serving image, as
 // fractions, in the order of the best-effort images.
 std::vector<double> sustainablePaces(const interference_model &model, const worker_record &worker)
@@ -194,12 +204,12 @@
     std::vector<double> paces(worker.bestEffort.size(), 1.0);
     for (const auto &[name, serving] : worker.serving) {
         const std::vector<double> added = interferenceOn(model, worker, serving.image);
-        limitPaces(added, headroom(model, serving.image, serving.load), paces);
+        limitPaces(added, headroom(model, serving, serving.loadSoon), paces);
         if (serving.latencyRatio <= overTargetRatio)
             continue;
         std::vector<double> cut = presentPaces(worker);
         const double present = std::inner_product(added.begin(), added.end(), cut.begin(), 0.0);
-        limitPaces(added, present * overTargetCut, cut);
+        limitPaces(added, present * cutOverTarget(model, serving), cut);
         std::transform(paces.begin(), paces.end(), cut.begin(), paces.begin(),
                        [](double a, double b) { return std::min(a, b); });
     }
@@ -337,6 +347,29 @@
     }
 }
 
+void sendPaces(scheduler_state &state, const worker_record &worker)
+{
+    for (const auto &[name, run] : worker.runs) {
+        if (run.bestEffort != nullptr)
+            sendPace(state, worker, name, *run.task, paceOf(worker, run));
+    }
+}
+
+// Lowers the paces of the worker to what the model says is sustainable with a run that has begun
+// since the latest report. Only a report raises paces.
+void lowerPaces(scheduler_state &state, worker_record &worker)
+{
+    if (worker.serving.empty())
+        return;
+    updateExpectedLoads(state, worker);
+    const std::vector<double> paces = sustainablePaces(state.interference, worker);
+    auto pace = paces.begin();
+    for (auto &[image, bestEffort] : worker.bestEffort)
+        setPace(state, worker, image, bestEffort,
+                std::min(bestEffort.pacePercent, toPercent(*pace++)));
+    sendPaces(state, worker);
+}
+
 } // namespace
 
 bool mayInterfere(const worker_record &worker)
@@ -382,12 +415,12 @@
     worker.budgets.clear();
     if (worker.serving.empty())
         return;
+    updateExpectedLoads(state, worker);
     const auto &shares = wantedShares(state, worker);
     for (const auto &[image, serving] : worker.serving) {
-        const double load = std::max(serving.load, state.interference.typicalLoad(serving.image));
         worker.budgets.push_back({serving.image,
                                   state.interference.addedUtilisation(serving.image, shares),
-                                  headroom(state.interference, serving.image, load)});
+                                  headroom(state.interference, serving, serving.loadLater)});
     }
 }
 
@@ -403,10 +436,7 @@
     auto pace = paces.begin();
     for (auto &[image, bestEffort] : worker.bestEffort)
         setPace(state, worker, image, bestEffort, toPercent(*pace++));
-    for (const auto &[name, run] : worker.runs) {
-        if (run.bestEffort != nullptr)
-            sendPace(state, worker, name, *run.task, paceOf(worker, run));
-    }
+    sendPaces(state, worker);
     moveSlowRuns(state, worker);
 }
 
@@ -422,12 +452,14 @@
         task->pacePercent = unknownPace;
 }
 
-void onRunConfirmed(scheduler_state &state, const worker_record &worker, const task_name &name,
+void onRunConfirmed(scheduler_state &state, worker_record &worker, const task_name &name,
                     task_state &task)
 {
     const bound_run &run = worker.runs.at(name);
-    if (run.bestEffort != nullptr)
-        sendPace(state, worker, name, task, paceOf(worker, run));
+    if (run.bestEffort == nullptr)
+        return;
+    lowerPaces(state, worker);
+    sendPace(state, worker, name, task, paceOf(worker, run));
 }
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/pace_control.h
+++ b/packages/scheduler/pace_control.h
@@ -40,8 +40,9 @@
 void handlePaceResult(scheduler_state &state, const pace_command &command,
                       const command_result &result);
 
-/// Handles the confirmation of a run. The run gets the pace of its image on the worker at once.
-void onRunConfirmed(scheduler_state &state, const worker_record &worker, const task_name &name,
+/// Handles the confirmation of a run. It gets the pace of its image on the worker at once, and all
+/// images there are slowed down as far as the run makes it necessary.
+void onRunConfirmed(scheduler_state &state, worker_record &worker, const task_name &name,
                     task_state &task);
 
 } // namespace crocuswind::scheduler
--- a/packages/scheduler/run_binding.cpp
+++ b/packages/scheduler/run_binding.cpp
@@ -1,6 +1,7 @@
 #include "run_binding.h"
 
 #include "pace_control.h"
+#include "serving_load.h"
 #include "yielding_runs.h"
 
 #include <algorithm>
@@ -78,8 +79,10 @@
     }
     if (isYielding)
         state.yieldingTasks.insert(name);
-    if (step.latencyTargetMs > 0)
+    if (step.latencyTargetMs > 0) {
         bound.serving = &addServing(state, worker, step);
+        bound.load = bindLoad(state, name.job, name.step, step.image);
+    }
     worker.committed = worker.committed + reservedBy(step);
     if (!step.isContinuous)
         worker.finiteCommitted = worker.finiteCommitted + reservedBy(step);
@@ -111,6 +114,8 @@
     if (task.phase != task_phase::starting)
         job.idleSince = state.now;
     const bool isYielding = bound->second.isYielding;
+    if (bound->second.load != nullptr)
+        unbindLoad(*bound->second.load);
     worker.runs.erase(bound);
     if (isYielding)
         state.yieldingTasks.erase(name);
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -11,6 +11,7 @@
 #include "occurrences.h"
 #include "pace_control.h"
 #include "scheduler_state.h"
+#include "serving_load.h"
 #include "silent_workers.h"
 #include "task_lifecycle.h"
 #include "waiting_jobs.h"
@@ -122,6 +123,7 @@
         state.discardChooser();
         state.pollQueue = {};
         state.workers.clear();
+        state.stepLoads.clear();
         state.workersAsOf = {};
         state.areStartsHeld = false;
     }
@@ -413,6 +415,7 @@
     evacuateWorkers(i.state);
     logAbsentTasks(i.state);
     logWaitingJobs(i.state);
+    reportServingLoads(i.state);
     i.runFollowUps();
 }
 
--- a/packages/scheduler/scheduler_core.h
+++ b/packages/scheduler/scheduler_core.h
@@ -53,6 +53,9 @@
     std::int64_t completionsDone = 0;
     std::int64_t completionsFailed = 0;
     std::int64_t runsLost = 0; ///< Runs that disappeared without a completion report.
+    std::int64_t servingOverTargetMs = 0; ///< Task-milliseconds of serving tasks over their target.
+    std::int64_t forecastsUsable = 0; ///< Gauge: steps whose load forecast is used.
+    double forecastError = 0; ///< Gauge: mean over these steps, as a utilisation.
     std::int64_t jobsKnown = 0; ///< Gauge.
     std::int64_t evacuatedDataCentres = 0; ///< Gauge.
     std::int64_t tasksWaiting = 0; ///< Gauge, as of the last dispatch.
--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -5,6 +5,7 @@
 #include "former_list.h"
 #include "interference_model.h"
 #include "scheduler_core.h"
+#include "serving_load.h"
 #include "start_window.h"
 #include "unreported_workers.h"
 #include "worker_list.h"
@@ -143,6 +144,9 @@
     /// Kept when the ownership changes, because images behave alike on all workers.
     interference_model interference;
     std::vector<interfering_share> shares; ///< Reusable buffer for the shares of one worker.
+    step_loads stepLoads;
+    over_target_summary overTarget;
+    instant nextServingReportAt; ///< Next report of forecasts and times over latency targets.
 
     // Dispatch.
     bool isDispatchWanted = false;
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -248,11 +248,17 @@
     int tasks = 0;
     int working = 0; ///< Number of tasks that have finished starting up, as last reported.
     double latencyRatio = 0; ///< Highest ratio of tail latency to target, as last reported.
-    double meanRatio = 0; ///< Mean ratio of tail latency to target, as last reported.
+    /// Harmonic mean of the ratios, as last reported: its utilisation is the mean of theirs.
+    double meanRatio = 0;
     bool isLoadKnown = false;
     double load = 0; ///< Utilisation caused by the requests of the tasks' own users.
-    /// Since which report a task has been over its latency target; nothing if none was in the last.
-    std::optional<instant> overTargetSince;
+    double loadOffset = 0; ///< By how much it exceeds the forecasts of the steps of the tasks.
+    double presumedLoad = 0; ///< What `load` was expected to be at the latest report.
+    bool isLoadShared = false; ///< `presumedLoad` is what the workers of each task's step show.
+    bool isForecast = false; ///< The next two are forecast for each task.
+    double loadSoon = 0; ///< Highest load of a task until its pace changes next.
+    double loadLater = 0; ///< Highest load of a task during a run that starts now.
+    int overTarget = 0; ///< Number of tasks over their latency target, as last reported.
 };
 
 /// How much interference the tasks of one serving image on a worker tolerate, and how much the
@@ -265,6 +271,7 @@
 };
 
 struct job_record;
+struct step_load;
 struct task_state;
 
 /// A run that may exist on a worker. The pointers are valid as long as the run is bound: a job
@@ -278,6 +285,7 @@
     best_effort_image *bestEffort = nullptr; ///< Null if the step is not best effort.
     bool isYielding = false; ///< Yields to all other runs, see yielding_runs.h.
     serving_image *serving = nullptr; ///< Null if the step has no latency target.
+    step_load *load = nullptr; ///< Null likewise.
     std::uint64_t lastSeenPoll = 0; ///< Number of the last poll whose report contained the run.
     /// An answer has shown that the run began in the known incarnation of the worker.
     bool isConfirmed = false;
@@ -331,6 +339,7 @@
     /// are cached because the choice of a worker examines all workers, and querying the model for
     /// each took most of the owner's processor time.
     std::vector<interference_budget> budgets;
+    instant targetsCheckedAt; ///< Last report that showed times over latency targets.
     bool isChangeNoted = false; ///< The worker is among scheduler_state::changedWorkers.
     // Polls.
     std::uint64_t lastPoll = 0;
