--- a/packages/scheduler/scheduler_state.h
+++ b/packages/scheduler/scheduler_state.h
@@ -4,8 +4,8 @@
 
 #include "former_list.h"
 #include "interference_model.h"
-#include "poll_duties.h"
 #include "overload_control.h"
+#include "poll_duties.h"
 #include "scheduler_core.h"
 #include "start_window.h"
 #include "unreported_workers.h"
