--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher.h"
 
 #include "discovery_age.h"
+#include "dispatch_rank.h"
 #include "room_claims.h"
 #include "run_binding.h"
 #include "task_lifecycle.h"
@@ -42,15 +43,6 @@
 /// any number that an earlier owner can have used for the same task.
 constexpr int runNumbersPerEpoch = 1000;
 
-/// A job counts as late when the estimate of its remaining critical path, times this margin, no
-/// longer fits before the objective. Without a margin, tasks started at the last moment end
-/// slightly too late.
-constexpr double estimateMargin = 1.2;
-
-/// A continuous task must run again within 6 s of its last run. After this time it goes before all
-/// other work.
-constexpr duration longestInterruption = 2500ms;
-
 /// A job that could run but has no run is starved after this time. The platform counts such a job
 /// as lost once it has been without a run for 3 s, from 14 s after the end of the traffic on.
 constexpr duration longestWait = 2500ms;
@@ -70,31 +62,6 @@
 constexpr std::size_t workersPerYieldingRun = 16;
 constexpr std::size_t minYieldingRuns = 4;
 
-/// Whether a job can still meet its objective, in the order in which steps are dispatched.
-enum class deadline_outlook { interrupted, in_time, given_up, continuous, late, expired };
-
-// The dispatch order of steps. Steps that can still meet their objective come before those that
-// cannot: under overload, oldest-first order would make every job late. Continuous steps come in
-// between, because they hold their resources indefinitely, while finite steps that are in time
-// release theirs within seconds. Continuous tasks that were interrupted come before everything
-// after a while: behind thousands of waiting tasks that are in time, they would be missing for
-// longer than the platform allows, although there is room for them. Ties are broken by the queue's
-// priority, then by the latest time at which the remaining critical path has to start, then by the
-// order of acceptance.
-struct dispatch_rank
-{
-    deadline_outlook outlook = deadline_outlook::in_time;
-    int priority = 0;
-    instant latestStart; ///< Of interrupted steps, since when a task waits.
-    std::int64_t number = 0;
-
-    friend bool operator<(const dispatch_rank &a, const dispatch_rank &b)
-    {
-        return std::tie(a.outlook, a.priority, a.latestStart, a.number)
-            < std::tie(b.outlook, b.priority, b.latestStart, b.number);
-    }
-};
-
 // Returns how long the last round of the owner's duties took.
 duration lastRoundOf(const scheduler_state &state)
 {
@@ -102,64 +69,6 @@
                                                 : state.now - state.inputHandledUntil;
 }
 
-bool isWaiting(const task_state &task)
-{
-    return task.phase == task_phase::waiting;
-}
-
-// Returns true if the task waits and was interrupted longer than `longestInterruption` ago, or
-// before this owner took over, which cannot tell when.
-bool isInterruptedForLong(const scheduler_state &state, const task_state &task)
-{
-    return isWaiting(task) && task.hasBegun
-        && (state.now - task.interruptedAt >= longestInterruption
-            || task.interruptedAt <= state.tookOverAt);
-}
-
-// Returns since when the task of the step waits that was interrupted first, or nothing if none was
-// interrupted for long.
-std::optional<instant> longInterruptedSince(const scheduler_state &state,
-                                            const std::vector<task_state> &tasks)
-{
-    std::optional<instant> since;
-    for (const task_state &task : tasks) {
-        if (isInterruptedForLong(state, task))
-            since = std::min(since.value_or(task.interruptedAt), task.interruptedAt);
-    }
-    return since;
-}
-
-// Returns the outlook of a finite step, given what is expected of its job under the present load.
-deadline_outlook underOverload(deadline_outlook outlook, job_prospect prospect)
-{
-    if (prospect == job_prospect::in_time)
-        return outlook;
-    if (outlook == deadline_outlook::in_time)
-        return deadline_outlook::given_up;
-    return prospect == job_prospect::useless ? deadline_outlook::expired : outlook;
-}
-
-dispatch_rank rankOf(const scheduler_state &state, const ready_step &step,
-                     const std::vector<task_state> &tasks)
-{
-    const job_record &job = *step.job;
-    const occurrence_state &occurrence = job.occurrences.at(step.occurrence);
-    const job_objective objective = objectiveOf(job, occurrence);
-    const std::int64_t criticalPathMs = job.criticalPathsMs[std::size_t(step.step)];
-    const instant endsAt = state.now
-        + std::chrono::milliseconds(std::int64_t(double(criticalPathMs) * estimateMargin));
-    deadline_outlook outlook = deadline_outlook::in_time;
-    if (job.spec.steps[std::size_t(step.step)].isContinuous) {
-        if (const auto since = longInterruptedSince(state, tasks))
-            return {deadline_outlook::interrupted, job.policy.priority, *since, job.number};
-        outlook = deadline_outlook::continuous;
-    } else if (endsAt > objective.at)
-        outlook = endsAt > objective.lateUntil ? deadline_outlook::expired : deadline_outlook::late;
-    outlook = underOverload(outlook, occurrence.prospect);
-    return {outlook, job.policy.priority, objective.at - std::chrono::milliseconds(criticalPathMs),
-            job.number};
-}
-
 std::vector<task_state> *tasksOf(const ready_step &step)
 {
     if (step.job->isOver())
