--- a/test/correctness/scheduler_overloaded_queue.h
+++ b/test/correctness/scheduler_overloaded_queue.h
@@ -139,6 +139,20 @@
     std::map<job_name, instant> doneAt;
 };
 
+// 2.5 times the load of the queue for six seconds, between a usual load.
+inline void submitBurst(overloaded_queue &queue)
+{
+    queue.submitFor(4s, 8);
+    queue.submitFor(6s, 20);
+    queue.submitFor(10s, 8);
+}
+
+inline void print(const char *what, const overloaded_queue::outcome &o)
+{
+    fmt::print("{}: in time {}, late {}, useless {}, refused {} of {}\n", what, o.inTime, o.late,
+               o.useless, o.refused, o.all());
+}
+
 } // namespace crocuswind::scheduler
 
 #endif
