Bound the wait of starved jobs under overload, too

Cause: a limit on yielding runs during an overload let jobs wait without a bound that could run; scheduler_waits_test failed in three of its five cases. Change: the limit is gone.

--- a/packages/scheduler/dispatcher.cpp
+++ b/packages/scheduler/dispatcher.cpp
@@ -57,11 +57,6 @@
 /// Maximum number of tasks of starved jobs that are started in one pass.
 constexpr int maxStarvedStartsPerPass = 4;
 
-/// While there is too little room, at most one run in this many workers yields, but always
-/// `minYieldingRuns` may.
-constexpr std::size_t workersPerYieldingRun = 16;
-constexpr std::size_t minYieldingRuns = 4;
-
 // Returns how long the last round of the owner's duties took.
 duration lastRoundOf(const scheduler_state &state)
 {
@@ -219,22 +214,13 @@
         return starved;
     }
 
-    // Returns true if the step waits because of an overload and enough runs yield already. Each run
-    // takes room in the end that work in time could have had.
-    bool mayNotYield(const ordered_step &ordered) const
-    {
-        const std::size_t most = std::max<std::size_t>(
-            minYieldingRuns, m_state.workers.size() / workersPerYieldingRun);
-        return m_state.yieldingTasks.size() >= most && isOverloaded(m_state, *ordered.step.job);
-    }
-
     // Starts one task of each starved job, in order. Best-effort tasks yield to all others.
     void startStarved(const std::vector<const ordered_step *> &starved)
     {
         const int maxStarts = m_maxStarts;
         const int last = std::min(maxStarts, m_starts + maxStarvedStartsPerPass);
         for (const ordered_step *step : starved) {
-            if (step->step.job->boundRuns > 0 || mayNotYield(*step))
+            if (step->step.job->boundRuns > 0)
                 continue;
             m_maxStarts = std::min(m_starts + 1, last);
             startTasks(*step, true);
--- a/packages/scheduler/overload_control.cpp
+++ b/packages/scheduler/overload_control.cpp
@@ -337,12 +337,6 @@
     }
 }
 
-bool isOverloaded(const scheduler_state &state, const job_record &job)
-{
-    const auto found = state.roomLoads.find(kindOf(job.spec, job.policy));
-    return found != state.roomLoads.end() && found->second.isOverloaded;
-}
-
 void noteRunEnded(scheduler_state &state, const job_record &job, const task_name &name,
                   const task_state &task, bool isDone)
 {
--- a/packages/scheduler/overload_control.h
+++ b/packages/scheduler/overload_control.h
@@ -71,9 +71,6 @@
 /// are ordered, while `ready` tells which steps found no worker.
 void triageWaitingJobs(scheduler_state &state);
 
-/// Returns true if there is too little room for work like the job's.
-bool isOverloaded(const scheduler_state &state, const job_record &job);
-
 /// Records that a run of the finite task, bound since `task.runSince`, has ended.
 void noteRunEnded(scheduler_state &state, const job_record &job, const task_name &name,
                   const task_state &task, bool isDone);
