--- a/test/correctness/scheduler_large_fleet.h
+++ b/test/correctness/scheduler_large_fleet.h
@@ -96,7 +96,7 @@
 
     /// Elects a first owner. It handles \p resultsPerSecond.
     large_fleet(int workerCount, std::int64_t milliCores, int resultsPerSecond)
-        : resultCost(duration(1s) / resultsPerSecond)
+        : m_resultCost(duration(1s) / resultsPerSecond)
     {
         for (int i = 0; i < workerCount; ++i)
             workers[{fmt::format("w{:04}", i)}];
@@ -106,9 +106,9 @@
     /// Another host owns the jobs from now on, under the next epoch. The former owner is gone.
     void elect(std::int64_t milliCores)
     {
-        events.clear();
-        backlog.clear();
-        timeouts.clear();
+        m_events.clear();
+        m_backlog.clear();
+        m_timeouts.clear();
         owner = std::make_unique<owner_ports>(*this, milliCores);
         queue_policy policy;
         policy.queue.value = "q";
@@ -145,21 +145,22 @@
         for (const instant until = now + howLong; now < until; now += 1ms) {
             if ((now - instant()) % 200ms == duration::zero())
                 confirm();
-            for (; !events.empty() && events.begin()->first <= now; events.erase(events.begin()))
-                backlog.push_back(std::move(events.begin()->second));
-            freeAt = std::max(freeAt, now - 1ms);
-            for (; !backlog.empty() && freeAt <= now; freeAt += resultCost) {
-                const auto handle = std::move(backlog.front());
-                backlog.pop_front();
+            for (; !m_events.empty() && m_events.begin()->first <= now;
+                 m_events.erase(m_events.begin()))
+                m_backlog.push_back(std::move(m_events.begin()->second));
+            m_freeAt = std::max(m_freeAt, now - 1ms);
+            for (; !m_backlog.empty() && m_freeAt <= now; m_freeAt += m_resultCost) {
+                const auto handle = std::move(m_backlog.front());
+                m_backlog.pop_front();
                 handle();
             }
-            for (; !timeouts.empty() && timeouts.begin()->first <= now;
-                 timeouts.erase(timeouts.begin()))
-                timeouts.begin()->second();
+            for (; !m_timeouts.empty() && m_timeouts.begin()->first <= now;
+                 m_timeouts.erase(m_timeouts.begin()))
+                m_timeouts.begin()->second();
             // A busy loop runs its timers between two rounds of input.
-            const bool isRoundOver = backlog.empty() || now >= lastTickAt + 20ms;
+            const bool isRoundOver = m_backlog.empty() || now >= m_lastTickAt + 20ms;
             if (isRoundOver && owner->core.nextWake() <= now) {
-                lastTickAt = now;
+                m_lastTickAt = now;
                 owner->core.tick(now, unixMs());
             }
             endLapsedRuns();
@@ -194,12 +195,12 @@
 
     void handleLater(instant when, std::function<void()> handle)
     {
-        events.emplace(when, std::move(handle));
+        m_events.emplace(when, std::move(handle));
     }
 
     void failLater(instant when, std::function<void()> fail)
     {
-        timeouts.emplace(when, std::move(fail));
+        m_timeouts.emplace(when, std::move(fail));
     }
 
     void confirm()
@@ -241,12 +242,12 @@
         }
     }
 
-    duration resultCost;
-    instant freeAt; ///< When the owner has handled what it has begun.
-    instant lastTickAt;
-    std::multimap<instant, std::function<void()>> events;
-    std::deque<std::function<void()>> backlog;
-    std::multimap<instant, std::function<void()>> timeouts;
+    duration m_resultCost;
+    instant m_freeAt; ///< When the owner has handled what it has begun.
+    instant m_lastTickAt;
+    std::multimap<instant, std::function<void()>> m_events;
+    std::deque<std::function<void()>> m_backlog;
+    std::multimap<instant, std::function<void()>> m_timeouts;
 };
 
 } // namespace crocuswind::scheduler
