--- a/packages/policy/retry_spread.cpp
+++ b/packages/policy/retry_spread.cpp
@@ -10,17 +10,6 @@
 constexpr std::int64_t minSpreadSeconds = 2;
 constexpr std::int64_t maxSeconds = 60;
 
-// The 64-bit FNV-1a hash, which is the same on all hosts.
-std::uint64_t hashOf(std::string_view text)
-{
-    std::uint64_t hash = 14695981039346656037ULL;
-    for (const char c : text) {
-        hash ^= std::uint64_t(static_cast<unsigned char>(c));
-        hash *= 1099511628211ULL;
-    }
-    return hash ^ (hash >> 32);
-}
-
 } // namespace
 
 std::int64_t spreadRetrySeconds(duration earliest, std::string_view name)
@@ -29,7 +18,7 @@
         = std::chrono::duration_cast<std::chrono::seconds>(earliest + 999ms).count();
     const std::int64_t seconds = std::clamp<std::int64_t>(whole, 1, maxSeconds);
     const std::int64_t spread = std::max(minSpreadSeconds, seconds);
-    return seconds + std::int64_t(hashOf(name) % std::uint64_t(spread + 1));
+    return seconds + std::int64_t(stableHash(name) % std::uint64_t(spread + 1));
 }
 
 } // namespace crocuswind::policy
