Trial, untested: forecast only the swing of the load

The mean load is learned as before, so that interference can be told from load where all workers bear the same. Not for landing.

--- a/packages/policy/load_forecast.cpp
+++ b/packages/policy/load_forecast.cpp
@@ -360,6 +360,18 @@
     return highest;
 }
 
+double load_forecast::meanLoad() const
+{
+    if (isPeriodShown())
+        return m_harmonic->mean;
+    load_bin all;
+    for (const load_bin &bin : m_bins) {
+        all.weight += bin.weight;
+        all.sum += bin.sum;
+    }
+    return all.weight > 0 ? all.mean() : 0;
+}
+
 double load_forecast::margin() const
 {
     return marginOfError * presentError().mean;
--- a/packages/policy/load_forecast.h
+++ b/packages/policy/load_forecast.h
@@ -72,6 +72,9 @@
     /// Returns the highest expected load from \p from to \p until.
     double highestLoad(instant from, instant until) const;
 
+    /// Returns the mean load over the history, or over a period if there is one.
+    double meanLoad() const;
+
     /// Returns how much the load may exceed a forecast, from recent errors.
     double margin() const;
 
--- a/packages/scheduler/serving_load.cpp
+++ b/packages/scheduler/serving_load.cpp
@@ -18,10 +18,6 @@
 /// How far ahead starts of best-effort tasks look. Later, their pace can be reduced.
 constexpr duration runTime = 1500ms;
 
-/// The load of the tasks on a worker differs from the forecast of their steps by this at most. A
-/// larger difference is interference that is not known yet.
-constexpr double maxLoadOffset = 0.08;
-
 /// A sample has half of the usual weight where best-effort tasks add this utilisation, because what
 /// they add is not known exactly.
 constexpr double halfWeightAddition = 0.1;
@@ -45,11 +41,11 @@
     if (state.now - load.cachedAt < cacheTime)
         return load;
     load.cachedAt = state.now;
-    load.isCurrent = load.forecast.isCurrent(state.now);
     load.isUsable = load.forecast.isUsable(state.now);
     if (load.isUsable) {
-        load.soon = load.forecast.highestLoad(state.now, state.now + untilNextPace);
-        load.later = load.forecast.highestLoad(state.now, state.now + runTime);
+        const double mean = load.forecast.meanLoad();
+        load.soon = load.forecast.highestLoad(state.now, state.now + untilNextPace) - mean;
+        load.later = load.forecast.highestLoad(state.now, state.now + runTime) - mean;
     }
     return load;
 }
@@ -82,20 +78,18 @@
 void presumeLoads(scheduler_state &state, worker_record &worker)
 {
     for (auto &[image, serving] : worker.serving) {
-        serving.presumedLoad = 0;
+        serving.presumedSwing = 0;
         serving.isLoadShared = true;
     }
     for (const auto &[name, run] : worker.runs) {
         if (!isMeasured(run))
             continue;
-        // With the load that all workers show at the time, only what differs between them is
-        // learned as interference, and no swing is.
-        const bool isCurrent = refreshed(state, *run.load).isCurrent;
-        run.serving->isLoadShared = run.serving->isLoadShared && isCurrent;
-        const double load = isCurrent
-            ? run.load->forecast.loadAt(measuredAt(state)) + run.serving->loadOffset
-            : ownEstimate(state, *run.serving);
-        run.serving->presumedLoad += load / run.serving->working;
+        const step_load &load = refreshed(state, *run.load);
+        run.serving->isLoadShared = run.serving->isLoadShared && load.isUsable;
+        if (load.isUsable)
+            run.serving->presumedSwing
+                += (load.forecast.loadAt(measuredAt(state)) - load.forecast.meanLoad())
+                / run.serving->working;
     }
 }
 
@@ -228,12 +222,12 @@
     for (auto &[image, serving] : worker.serving) {
         if (serving.meanRatio <= 0)
             continue;
-        serving.load
-            = state.interference.observe(serving.image, serving.meanRatio, serving.presumedLoad,
-                                         state.shares, serving.isLoadShared);
+        serving.presumedLoad = ownEstimate(state, serving) + serving.presumedSwing;
+        serving.load = state.interference.observe(serving.image, serving.meanRatio,
+                                                  serving.presumedLoad, state.shares,
+                                                  serving.isLoadShared)
+            - serving.presumedSwing;
         serving.isLoadKnown = true;
-        serving.loadOffset = std::clamp(serving.loadOffset + serving.load - serving.presumedLoad,
-                                        -maxLoadOffset, maxLoadOffset);
     }
 }
 
@@ -251,9 +245,9 @@
         const step_load &load = refreshed(state, *run.load);
         serving.isForecast = serving.isForecast && load.isUsable;
         const double typical = state.interference.typicalLoad(serving.image);
-        const double soon = load.isUsable ? load.soon + serving.loadOffset : serving.load;
+        const double soon = serving.load + (load.isUsable ? load.soon : 0);
         const double later
-            = load.isUsable ? load.later + serving.loadOffset : std::max(serving.load, typical);
+            = std::max(serving.load, typical) + (load.isUsable ? load.later : 0);
         serving.loadSoon = std::max(serving.loadSoon, soon);
         serving.loadLater = std::max(serving.loadLater, later);
     }
--- a/packages/scheduler/serving_load.h
+++ b/packages/scheduler/serving_load.h
@@ -27,7 +27,6 @@
     policy::load_forecast forecast;
     /// Expected loads, cached because each start and each report on a worker asks for them.
     instant cachedAt;
-    bool isCurrent = false; ///< The load of the last second is known.
     bool isUsable = false; ///< The load ahead is known.
     double soon = 0; ///< Highest load until a pace that follows the next report has taken effect.
     double later = 0; ///< Highest load over the usual run of a best-effort task.
--- a/packages/scheduler/worker_record.h
+++ b/packages/scheduler/worker_record.h
@@ -251,8 +251,9 @@
     /// Harmonic mean of the ratios, as last reported: its utilisation is the mean of theirs.
     double meanRatio = 0;
     bool isLoadKnown = false;
-    double load = 0; ///< Utilisation caused by the requests of the tasks' own users.
-    double loadOffset = 0; ///< By how much it exceeds the forecasts of the steps of the tasks.
+    /// Utilisation caused by the requests of the tasks' own users, without the forecast swing.
+    double load = 0;
+    double presumedSwing = 0; ///< Forecast difference from `load` while the worker measured.
     double presumedLoad = 0; ///< What `load` was expected to be at the latest report.
     bool isLoadShared = false; ///< `presumedLoad` is what the workers of each task's step show.
     bool isForecast = false; ///< The next two are forecast for each task.
