--- a/test/standin/allocation_counter.cpp
+++ b/test/standin/allocation_counter.cpp
@@ -28,6 +28,14 @@
     throw std::bad_alloc();
 }
 
+// Used by algorithms with a buffer, such as std::stable_sort.
+[[gnu::noinline]] void *operator new(std::size_t size, const std::nothrow_t &) noexcept
+{
+    ++crocuswind::standin::totals.allocations;
+    crocuswind::standin::totals.bytes += size;
+    return std::malloc(size);
+}
+
 [[gnu::noinline]] void operator delete(void *memory) noexcept
 {
     std::free(memory);
