--- a/review/standin-3/site_parts.py
+++ b/review/standin-3/site_parts.py
@@ -296,6 +296,7 @@
         self.sequence = 0
         self.port = 0
         self.clock_rate = 1.0
+        self.dark_server = None  # While it is down and silent: takes calls and answers none.
 
     async def start(self):
         self.life += 1
@@ -311,8 +312,11 @@
         self.end_event = asyncio.Event()
         self.sequence = 0
         self.draining_until = None
-        self.server = HttpServer(self.handle)
-        _, self.port = await self.server.listen(self.ip, self.port)
+        if self.dark_server is not None:
+            self.server, self.dark_server = self.dark_server, None
+        else:
+            self.server = HttpServer(self.handle)
+            _, self.port = await self.server.listen(self.ip, self.port)
         self.is_up = True
         self.check_in()
 
