--- a/review/standin-3/checked_site.py
+++ b/review/standin-3/checked_site.py
@@ -7,6 +7,7 @@
 import signal
 import tempfile
 import time
+import traceback
 
 from site_parts import Host, Run, Runner, Store, http, now_ms
 
@@ -271,3 +272,20 @@
             shutil.rmtree(self.folder, ignore_errors=True)
         if self.record:
             self.record.close()
+
+
+def run_case(play, limit_s):
+    """Runs a case and returns its exit status. Ended by SIGTERM or SIGINT, it ends what it has started and returns 2."""
+    async def run():
+        task = asyncio.ensure_future(play())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(task, limit_s)
+
+    try:
+        result = asyncio.run(run())
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        result = 2
+    print('broken' if result == 1 else 'held' if result == 0 else 'could not run')
+    return result
